--- /dev/null
+++ b/lifthead/control.py
@@ -0,0 +1,395 @@
+"""All decisions of a lifthead router, with their tables and tuned values.
+
+How it is used: the host makes one `Router` an instance and calls one `on_...` method for each thing that happens.
+The router acts at once through the small `Host` that it was handed at start. Both the host's calls and the plain
+types that cross are in interface.py; the records kept between calls are in state.py. docs/design.md tells where
+the design comes from and when each exception to it acts.
+
+A req's path is `_route`: read at a reader or at the writer, then written. It is entered again when the read has
+ended, and whenever a forward has failed and another is allowed. Everything else serves that path.
+"""
+
+import random
+from hashlib import blake2b
+
+from lifthead.interface import Demand, Deployment, Effect, Ending, EngineEntry, Host, LoadReport
+from lifthead.state import Engine, Forward, Histogram, Req
+
+# The split (docs/design.md, "The threshold").
+THRESHOLD = 4096  # prompt tokens; shorter ones are read where they are written
+HEAVIER = 1.25  # the cell's writer is left when it carries this many times the other's tokens ...
+HEAVIER_BY = 0.02  # ... and this share of a writer's memory besides
+
+# Exceptions to it.
+LOCAL_UNREAD = 4096  # tokens of this router's that a writer may have to read before short prompts go to a reader
+HOT_TIMES = 2.0  # a reader is passed over when its backlog is this many times the mean of its peers ...
+HOT_SLACK = 8192  # ... and this many tokens besides
+
+# Health.
+OVERHEAD = 1000  # tokens' worth of time that any first answer takes, however short its prompt
+ENOUGH = 12  # measurements before a histogram is believed
+PATIENCE = 5.0  # a forward is waited for this many times what nine in ten of its kind take
+SLOW = 3.0  # an engine is suspect when its median first answer takes this many times the usual
+TRIAL_AFTER = 1_000_000  # a suspect's first trial; twice as long after each further strike
+TRIAL_LIMIT = 8_000_000
+FRESH = 1_500_000  # age to which a load report is believed
+
+# A cold engine gets this part of what the rule would let all routers together send it.
+COLD_PART = 0.5
+
+# Labels of wake-ups: a req's own is its id, shifted.
+TURN_OF_WINDOW = 1
+
+
+def rank(key: str, engine: str) -> bytes:
+    """Rendezvous hash: a change among the readers moves only the keys of those that came or went."""
+    return blake2b(f"{key}|{engine}".encode(), digest_size=8).digest()
+
+
+class Router:
+    def __init__(self, host: Host, deployment: Deployment) -> None:
+        self.host = host
+        self.chance = random.Random(deployment.seed)
+        self.zone = deployment.zone
+        self.tick = max(deployment.tick, 1)
+        self.groups = deployment.groups
+        self.roles = deployment.roles
+        self.memory = deployment.memory
+        self.writers_read = deployment.writers_read
+        self.max_forwards = deployment.max_forwards
+        self.may_cancel = deployment.may_cancel
+        self.hold_off = deployment.max_hold_off if deployment.may_hold_off else 0
+        self.window = max(deployment.overload_for, 1)
+        self.warm_within = deployment.warm_within
+        self.cold_part = deployment.cold_share * deployment.tip_multiple * COLD_PART
+        self.must_ask = deployment.must_ask
+        self.engines: dict[str, Engine] = {}
+        self.readers: list[Engine] = []  # ready ones, by name
+        self.writers: list[Engine] = []  # ready ones, mixed included, by name
+        self.reqs: dict[int, Req] = {}
+        self.pace = {work: Histogram(1000, 14, 400) for work in ("read", "fetch", "read there")}
+        self.sent = {role: 0 for role in ("read", "write", "both")}  # to warm engines, in this window
+        self.usual = dict.fromkeys(self.sent, 0.0)  # sends to one warm engine in a window
+        host.wake(self.window, TURN_OF_WINDOW)
+        self.ask_again = False
+        if self.must_ask:
+            host.watch_engines()
+
+    # What can happen to the list of engines.
+
+    def on_engines(self, entries: list[EngineEntry], whole_list: bool, stale: bool) -> None:
+        """News of engines. Draining, gone and left-out ones get nothing from here on: no use is made of the grace."""
+        if whole_list:
+            named = {entry.engine for entry in entries}
+            for engine in self.engines.values():
+                engine.ready = engine.ready and engine.name in named
+        for entry in entries:
+            engine = self.engines.get(entry.engine)
+            if engine is None:
+                role, memory = self.roles.get(entry.kind, "both"), self.memory.get(entry.kind, 0)
+                engine = self.engines[entry.engine] = Engine(
+                    entry.engine, entry.zone, entry.cell, entry.kind, role, entry.weight, memory,
+                    entry.up_since, False, Histogram(1, 10, 32),
+                )  # fmt: skip
+            elif entry.up_since != engine.up_since:  # it came back under the same name: what was held against it is void
+                engine.strikes, engine.report, engine.pace = 0, None, Histogram(1, 10, 32)
+            engine.zone, engine.cell, engine.weight = entry.zone, entry.cell, entry.weight or 1.0
+            engine.ready, engine.up_since = entry.readiness == "ready", entry.up_since
+            if entry.up_since:
+                engine.cold_until = max(engine.cold_until, entry.up_since + self.warm_within)
+        ready = sorted((engine for engine in self.engines.values() if engine.ready), key=lambda engine: engine.name)
+        self.readers = [engine for engine in ready if engine.role == "read"]
+        self.writers = [engine for engine in ready if engine.role != "read"]
+
+    def on_engines_unavailable(self) -> None:
+        """Where news must be asked for, it is asked for again at the turn of the window."""
+        self.ask_again = self.must_ask
+
+    # What can happen to a req.
+
+    def on_req(self, demand: Demand) -> None:
+        now = self.host.now()
+        group = self.groups[demand.group]
+        target = group.target + group.target_per_1000 * demand.prompt // 1000
+        req = Req(demand, group, group.effect, demand.prompt, now, now + demand.budget, now + target)
+        self.reqs[demand.id] = req
+        # The final answer is owed whatever the forwards do, so its time is set before anything else.
+        self.host.wake(max(demand.budget - self.tick, 1), demand.id << 2)
+        self._route(req)
+
+    def _route(self, req: Req) -> None:
+        """The ordinary path of a req, from top to bottom; entered again when the read has ended."""
+        now = self.host.now()
+        if req.forwards >= self.max_forwards or now + self.tick >= req.due_at:
+            return self._give_up(req)
+        if req.held_at is None:
+            if req.prompt < THRESHOLD or not self.readers:
+                writer = self._draw(req, self.zone, None, reads=True)
+                # Exception, a burst: a writer that has enough to read leaves the prompt to the reader of its key,
+                # so that short reads do not pile up in front of running streams. Also covers a flush of kept texts.
+                if writer and not (self.readers and self._crowded(writer, req)):
+                    return self._forward(req, writer, "read there")
+            reader = self._reader(req)
+            if reader:
+                return self._forward(req, reader, "read")
+            writer = self._draw(req, self.zone, None, reads=True)
+            return self._forward(req, writer, "read there") if writer else self._give_up(req)
+        writer = self._draw(req, req.held_at.zone, req.held_at.cell, reads=False)
+        return self._forward(req, writer, "fetch") if writer else self._give_up(req)
+
+    def on_begun(self, req_id: int, number: int, took: int) -> None:
+        """The answer streams: it has no deadline any more and nothing is decided for it, but it weighs until it ends."""
+        req = self.reqs.get(req_id)
+        if req is None or req.out is None or req.out.number != number:
+            return
+        req.began, req.held_at = True, None
+        self._first_answer(req, req.out, took)
+
+    def on_ended(
+        self, req_id: int, number: int, name: str, ending: Ending, took: int, note: int, final: bool,
+        report: LoadReport | None,
+    ) -> None:  # fmt: skip
+        now = self.host.now()
+        engine = self.engines.get(name)
+        if engine and report:
+            engine.report, engine.report_at = report, now
+        req = self.reqs.get(req_id)
+        if req is None or req.out is None or req.out.number != number:
+            return
+        forward, req.out = req.out, None
+        if not forward.begun and ending in (Ending.READ, Ending.DONE):
+            self._first_answer(req, forward, took)
+        self._unload(req, forward)
+        if ending in (Ending.TIMED_OUT, Ending.UNREACHABLE, Ending.BROKEN):
+            self._strike(forward.engine, now)
+        if final or req.answered or req.began:
+            req.answered = True
+            self.host.free_state(req_id)
+            del self.reqs[req_id]
+            return
+        if ending is Ending.READ:
+            req.held_at = forward.engine
+            req.tried.clear()
+            return self._route(req)
+        req.tried.add(name)
+        if ending is Ending.BUSY and note == 1:
+            req.held_at = None  # the state is gone: read anew if there is time
+        if forward.reading or ending in (Ending.BUSY, Ending.UNREACHABLE, Ending.NOT_SENT):
+            return self._route(req)  # proven not run
+        if req.may_have_run is None:
+            req.may_have_run, req.run_window_ends = forward.engine, forward.sent_at + req.group.keyed_for
+        return self._give_up(req) if req.effect is Effect.NON_REPLAYABLE else self._route(req)
+
+    def on_expired(self, req_id: int) -> None:
+        """The client left: no answer is owed, and what is held or out for the req is let go of."""
+        req = self.reqs.get(req_id)
+        if req and not req.answered:
+            req.answered = True
+            self._let_go(req)
+
+    def on_wake(self, label: int) -> None:
+        if label == TURN_OF_WINDOW:
+            return self._turn_of_window()
+        req = self.reqs.get(label >> 2)
+        if req and not req.answered and not req.began:
+            req.answered = True
+            self.host.abort(req.demand.id)
+            self._let_go(req)
+        return None
+
+    def on_probed(self, name: str, ok: bool, took: int, report: LoadReport | None) -> None:
+        engine = self.engines[name]
+        if report:
+            engine.report, engine.report_at = report, self.host.now()
+
+    # Choosing an engine.
+
+    def _reader(self, req: Req) -> Engine | None:
+        """The reader that the key hashes to: those of this zone come first, each zone's in rendezvous order."""
+        usable = self._usable(self.readers, req)
+        if not usable:
+            return None
+        key = req.demand.beginning or req.demand.session
+        order = sorted(usable, key=lambda engine: (engine.zone != self.zone, rank(key, engine.name)))
+        # Exception, a hot beginning: a reader clearly more loaded than its peers is passed over for the next in the
+        # key's order, so a beginning stays on few readers. Also covers a zone that gets more than its readers can do.
+        backlogs = {engine.name: self._backlog(engine) for engine in usable}
+        bound = HOT_TIMES * sum(backlogs.values()) / len(usable) + HOT_SLACK
+        return next((engine for engine in order if backlogs[engine.name] <= bound), order[0])
+
+    def _draw(self, req: Req, zone: str, cell: int | None, reads: bool) -> Engine | None:
+        """One writer of the cell and one of the zone; the cell's is kept unless it clearly carries more."""
+        usable = self._usable(self.writers, req)
+        if reads and not self.writers_read:
+            usable = [engine for engine in usable if engine.role == "both"]
+        in_zone = [engine for engine in usable if engine.zone == zone] or usable
+        if not in_zone:
+            return None
+        in_cell = [engine for engine in in_zone if engine.cell == cell] or in_zone
+        kept, other = self.chance.choice(in_cell), self.chance.choice(in_zone)
+        return other if self._load(kept) > HEAVIER * self._load(other) + HEAVIER_BY else kept
+
+    def _usable(self, engines: list[Engine], req: Req) -> list[Engine]:
+        """Engines that may get this req now: allowed by the rules, not tried, and well as far as can be told."""
+        now = self.host.now()
+        doubted = sum(not self._well(engine, now) for engine in engines)
+        # When most of a role looks bad at once, the suspicion says nothing about single engines: use them all.
+        trust_all = doubted * 2 > len(engines)
+        return [
+            engine
+            for engine in engines
+            if engine.name not in req.tried
+            and (not engine.memory or req.prompt <= engine.memory)
+            and self._in_group(engine, req, now)
+            and self._cold_room(engine, now)
+            and (trust_all or self._well(engine, now) or self._trial(engine, req, now))
+        ]
+
+    def _in_group(self, engine: Engine, req: Req, now: int) -> bool:
+        """Rule 2 for keyed reqs: once one may have run, only engines that drop its repeat, while they remember it."""
+        ran, within = req.may_have_run, req.group.keyed_within
+        if ran is None or req.effect is not Effect.KEYED:
+            return True
+        same = within == "all" or (engine.zone == ran.zone and (within == "zone" or engine.cell == ran.cell))
+        return same and now < req.run_window_ends
+
+    def _load(self, engine: Engine) -> float:
+        """This router's tokens there, as a share of the engine's memory and size."""
+        return engine.tokens / ((engine.memory or 1) * engine.weight)
+
+    def _backlog(self, engine: Engine) -> int:
+        """Prompt tokens that wait to be read there: this router's own, or the engine's fresh word if that is more."""
+        report = engine.report
+        if report and report.unread_thousands and self.host.now() - engine.report_at < FRESH:
+            return max(engine.unread, int(report.unread_thousands * 1000))
+        return engine.unread
+
+    def _crowded(self, engine: Engine, req: Req) -> bool:
+        report = engine.report
+        if report and report.queued and self.host.now() - engine.report_at < FRESH:
+            return True
+        return self._backlog(engine) + req.prompt > LOCAL_UNREAD
+
+    # Health, as far as this router's own forwards show it.
+
+    def _well(self, engine: Engine, now: int) -> bool:
+        """Not suspect, and its oldest unanswered forward is not overdue. Guards against an engine that takes work and
+        does not answer as its peers do: silent, slow, fallen over, or behind a broken link."""
+        if engine.strikes:
+            return False
+        oldest = next(iter(engine.out.values()), None)
+        return oldest is None or now - oldest.sent_at <= self._patience(oldest)
+
+    def _trial(self, engine: Engine, req: Req, now: int) -> bool:
+        """A suspect gets one forward at a time, now and then, and never one that must not run twice."""
+        return bool(
+            engine.strikes and now >= engine.trial_at and not engine.out and req.effect is not Effect.NON_REPLAYABLE
+        )
+
+    def _patience(self, forward: Forward) -> int:
+        pace = self.pace[self._work(forward)]
+        if pace.total < ENOUGH:
+            return 1 << 62
+        return int(PATIENCE * pace.quantile(0.9) * (forward.backlog + OVERHEAD) / 1000)
+
+    def _work(self, forward: Forward) -> str:
+        return "read" if forward.reading else "read there" if forward.unread else "fetch"
+
+    def _strike(self, engine: Engine, now: int) -> None:
+        engine.trial_at = now + min(TRIAL_AFTER << engine.strikes, TRIAL_LIMIT)
+        engine.strikes += 1
+
+    def _first_answer(self, req: Req, forward: Forward, took: int) -> None:
+        """The engine answered: a prompt is read or a stream has begun. What it took is compared with the usual."""
+        engine, now, pace = forward.engine, self.host.now(), self.pace[self._work(forward)]
+        per_1000 = took * 1000 // (forward.backlog + OVERHEAD)
+        usual = pace.quantile(0.5) if pace.total >= ENOUGH else per_1000
+        pace.add(per_1000)
+        forward.begun = True
+        engine.unread -= forward.unread
+        engine.out.pop((req.demand.id, forward.number), None)
+        slowness = per_1000 / max(usual, 1)
+        engine.pace.add(slowness * 4)
+        if engine.strikes:
+            if slowness <= SLOW:  # back: what fell silent is likely cold, whether or not the list has said so
+                engine.strikes, engine.pace = 0, Histogram(1, 10, 32)
+                engine.cold_until = max(engine.cold_until, now + self.warm_within)
+            else:
+                self._strike(engine, now)
+        elif engine.pace.total >= ENOUGH and engine.pace.quantile(0.5) > SLOW * 4:
+            self._strike(engine, now)
+
+    # Cold engines.
+
+    def _cold_room(self, engine: Engine, now: int) -> bool:
+        """Rule 4 without word from the other routers: each sends a cold engine at most a fixed part of what it sends a
+        warm one, so all together send at most that part of what a warm one gets. Below that, the engine's own
+        reports decide: one that says reqs wait there gets nothing more."""
+        if now >= engine.cold_until:
+            return True
+        while engine.cold_sends and engine.cold_sends[0] <= now - self.window:
+            engine.cold_sends.popleft()
+        if engine.report and engine.report.queued and now - engine.report_at < FRESH:
+            return False
+        return len(engine.cold_sends) < max(1, int(self.usual[engine.role] * self.cold_part))
+
+    def _turn_of_window(self) -> None:
+        now = self.host.now()
+        if self.ask_again:
+            self.ask_again = False
+            self.host.watch_engines()
+        for role, sent in self.sent.items():
+            warm = sum(e.role == role and e.ready and now >= e.cold_until for e in self.engines.values())
+            if warm:
+                self.usual[role] += (sent / warm - self.usual[role]) / 4
+            self.sent[role] = 0
+        self.host.wake(self.window, TURN_OF_WINDOW)
+
+    # Acting.
+
+    def _forward(self, req: Req, engine: Engine, work: str) -> None:
+        now = self.host.now()
+        unread = 0 if work == "fetch" else req.prompt
+        tokens = 0 if work == "read" else req.prompt + req.demand.max_out
+        backlog = req.prompt if work == "fetch" else self._backlog(engine) + req.prompt
+        forward = Forward(req.forwards, engine, now, tokens, unread, backlog, work == "read")
+        # A forward is not waited for to the end of the budget while another could still be made of what is left.
+        abandon_at = req.due_at
+        may_repeat = work == "read" or req.effect is not Effect.NON_REPLAYABLE
+        if may_repeat and req.forwards + 2 < self.max_forwards:
+            wait = max(self._patience(forward), (req.target_at - req.taken_at) // 2)
+            abandon_at = min(req.due_at, now + max(min(wait, (req.due_at - now) // 2), 1))
+        engine.tokens += tokens
+        engine.unread += unread
+        engine.out[req.demand.id, forward.number] = forward
+        if now < engine.cold_until:
+            engine.cold_sends.append(now)
+        else:
+            self.sent[engine.role] += 1
+        req.out = forward
+        req.forwards += 1
+        self.host.forward(req.demand.id, engine.name, abandon_at)
+
+    def _unload(self, req: Req, forward: Forward) -> None:
+        forward.engine.tokens -= forward.tokens
+        if forward.engine.out.pop((req.demand.id, forward.number), None):
+            forward.engine.unread -= forward.unread
+
+    def _give_up(self, req: Req) -> None:
+        """The final answer for a req that no engine is left for: pushed back where a repeat does no harm."""
+        req.answered = True
+        ran = req.may_have_run is not None
+        harmless = req.effect is Effect.REPLAYABLE or not ran
+        if harmless or (req.effect is Effect.KEYED and req.group.keyed_within == "all"):
+            self.host.push_back(req.demand.id, self.hold_off and self.chance.randint(self.hold_off // 2, self.hold_off))
+        else:
+            self.host.abort(req.demand.id)
+        self._let_go(req)
+
+    def _let_go(self, req: Req) -> None:
+        """Rule 5: no answer frees what is held, so it is freed with each; what is out is called off where allowed."""
+        if req.out and not req.began and self.may_cancel:
+            self.host.cancel(req.demand.id, req.out.number)
+        self.host.free_state(req.demand.id)
+        if req.out is None:
+            del self.reqs[req.demand.id]
--- /dev/null
+++ b/lifthead/simhost/__init__.py
@@ -0,0 +1,1 @@
+"""Hosts instances of the decision module on the simulator's wire."""
--- /dev/null
+++ b/lifthead/simhost/serve.py
@@ -0,0 +1,140 @@
+"""Reads batches, calls the module's instances, and writes what they do."""
+
+from typing import TextIO
+
+from lifthead.control import Router
+from lifthead.simhost import wire
+from lifthead.simhost.wire import Fields, Malformed
+
+
+class WireHost:
+    """The host that one instance acts through: each call becomes a line of the reply."""
+
+    def __init__(self, router: str, clock: list[int], reply: list[str]) -> None:
+        self._at = f" Router={router} "
+        self._clock = clock
+        self._reply = reply
+
+    def now(self) -> int:
+        return self._clock[0]
+
+    def forward(self, req: int, engine: str, abandon_at: int) -> None:
+        self._reply.append(f"ROUTE{self._at}Id={req} Engine={engine} AbandonAt={abandon_at}")
+
+    def cancel(self, req: int, forward: int) -> None:
+        self._reply.append(f"ABORT_ATTEMPT{self._at}Id={req} Try={forward}")
+
+    def free_state(self, req: int) -> None:
+        self._reply.append(f"FREE_STATE{self._at}Id={req}")
+
+    def push_back(self, req: int, hold_off: int) -> None:
+        self._reply.append(f"OVERLOAD_REPLY{self._at}Id={req} HoldOff={hold_off}")
+
+    def abort(self, req: int) -> None:
+        self._reply.append(f"REPORT_FAILURE{self._at}Id={req}")
+
+    def wake(self, after: int, label: int) -> None:
+        self._reply.append(f"AFTER{self._at}FromNow={after} Label={label}")
+
+    def probe(self, engine: str) -> None:
+        self._reply.append(f"POLL{self._at}Engine={engine}")
+
+    def watch_engines(self) -> None:
+        self._reply.append(f"OBSERVE{self._at}Want=1")
+
+
+class Sim:
+    """All instances of this process. They share the clock and the pipe, and nothing that decides."""
+
+    def __init__(self) -> None:
+        self.clock = [0]
+        self.reply: list[str] = []
+        self.routers: dict[str, Router] = {}
+        self.sheets: dict[str, list] = {}
+
+    def event(self, name: str, fields: Fields) -> None:
+        number = wire.required(fields, "Router")
+        if name == "INIT":
+            host = WireHost(number, self.clock, self.reply)
+            self.routers[number] = Router(host, wire.deployment_of(fields))
+            return
+        router = self.routers.get(number)
+        if router is None:
+            raise Malformed(f"{name} names Router={number}, which has had no INIT")
+        if name == "HALT":
+            del self.routers[number]
+        elif name == "DEMAND":
+            router.on_req(wire.demand_of(fields))
+        elif name == "ENDED":
+            router.on_ended(
+                wire.whole(fields, "Id"),
+                wire.whole(fields, "Try", 0),
+                wire.required(fields, "Engine"),
+                wire.named(wire.ENDINGS, fields, "Ending"),
+                wire.whole(fields, "Took", 0),
+                wire.whole(fields, "Remark", 0),
+                wire.flag(fields, "Settled"),
+                wire.report_of(fields),
+            )
+        elif name == "ESTABLISHED":
+            took = wire.whole(fields, "Took", 0)
+            router.on_begun(wire.whole(fields, "Id"), wire.whole(fields, "Try", 0), took)
+        elif name == "EXPIRED":
+            router.on_expired(wire.whole(fields, "Id"))
+        elif name == "ALARM":
+            router.on_wake(wire.whole(fields, "Label"))
+        elif name == "ECHO":
+            ok = wire.required(fields, "Ending") == "done"
+            engine, took = wire.required(fields, "Engine"), wire.whole(fields, "Took", 0)
+            router.on_probed(engine, ok, took, wire.report_of(fields))
+        elif name == "BACKENDS_CHANGED":
+            how = wire.required(fields, "How")
+            if how == "unavailable":
+                router.on_engines_unavailable()
+            elif how in ("update", "replace", "restored"):
+                sheet = self.sheets.get(fields.get("List", "0"))
+                if sheet is None:
+                    raise Malformed(f"BACKENDS_CHANGED names list {fields.get('List', '0')}, which was never sent")
+                router.on_engines(sheet, whole_list=how != "update", stale=how == "restored")
+            else:
+                raise Malformed(f"How={how[:40]} is not known")
+
+
+def serve(lines: TextIO, out: TextIO) -> None:
+    sim = Sim()
+    number, in_batch, entries_due, sheet = 0, False, 0, []
+    for raw in lines:
+        number += 1
+        line = raw.rstrip("\r\n")
+        try:
+            if entries_due:
+                sheet.append(wire.entry_of(line))
+                entries_due -= 1
+                continue
+            if not line.strip():
+                continue
+            name, fields = wire.fields_of(line)
+            if name == "FRAME":
+                if in_batch:
+                    raise Malformed("FRAME inside a batch")
+                sim.clock[0] = wire.whole(fields, "T")
+                in_batch = True
+            elif not in_batch:
+                raise Malformed(f"'{line[:120]}' outside a batch")
+            elif name == "YOUR_TURN":
+                sim.reply.append("NEXT\n")
+                out.write("\n".join(sim.reply))
+                out.flush()
+                sim.reply.clear()
+                in_batch = False
+            elif name == "SHEET":
+                sheet = sim.sheets[fields.get("List", "0")] = []
+                entries_due = wire.whole(fields, "MembersList", 0)
+            elif "Router" in fields:
+                sim.event(name, fields)
+            elif name in ("INIT", "DEMAND", "ENDED", "BACKENDS_CHANGED"):
+                raise Malformed(f"{name} has no Router")
+        except Malformed as problem:
+            raise Malformed(f"line {number}: {problem}") from None
+    if in_batch:
+        raise Malformed(f"line {number}: input ended inside a batch")
--- /dev/null
+++ b/lifthead/state.py
@@ -0,0 +1,96 @@
+"""Records that the decision module keeps, and the mechanics of its histograms. Nothing here decides."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from lifthead.interface import Demand, Effect, EndpointGroup, LoadReport
+
+
+class Histogram:
+    """Counts in a few bins, each twice as wide as the one before; all halved once `keep` values are in."""
+
+    def __init__(self, first: int, bins: int, keep: int) -> None:
+        self._first = first
+        self._counts = [0.0] * bins
+        self._keep = keep
+        self.total = 0.0
+
+    def add(self, value: float) -> None:
+        scaled = int(value) // self._first
+        self._counts[min(scaled.bit_length(), len(self._counts) - 1)] += 1
+        self.total += 1
+        if self.total >= self._keep:
+            self._counts = [count / 2 for count in self._counts]
+            self.total /= 2
+
+    def quantile(self, part: float) -> int:
+        """The value below which this part of the counts lies, straight lines drawn inside the bins."""
+        left = part * self.total
+        for index, count in enumerate(self._counts):
+            if count and left <= count:
+                low = 0 if index == 0 else self._first << (index - 1)
+                high = self._first << index
+                return int(low + (high - low) * left / count)
+            left -= count
+        return self._first << (len(self._counts) - 1)
+
+
+@dataclass(slots=True, eq=False)
+class Forward:
+    """One forward of a req, from its sending to its ending."""
+
+    number: int
+    engine: "Engine"
+    sent_at: int
+    tokens: int  # what it weighs at a writer
+    unread: int  # prompt tokens that it brings to be read
+    backlog: int  # unread tokens that were known at the engine, its own included
+    reading: bool  # at a reader
+    begun: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Engine:
+    """What this router knows of one engine."""
+
+    name: str
+    zone: str
+    cell: int
+    kind: str
+    role: str
+    weight: float
+    memory: int
+    up_since: int
+    ready: bool
+    pace: Histogram
+    tokens: int = 0  # of this router's forwards: prompt plus allowed output
+    unread: int = 0  # of this router's forwards: prompt tokens not known to be read
+    out: dict[tuple[int, int], Forward] = field(default_factory=dict)  # waiting for a first answer, oldest first
+    report: LoadReport | None = None
+    report_at: int = 0
+    probed_at: int = 0
+    cold_until: int = 0
+    cold_sends: deque[int] = field(default_factory=deque)
+    strikes: int = 0
+    trial_at: int = 0  # while suspect: when the next trial may go
+
+
+@dataclass(slots=True, eq=False)
+class Req:
+    """A req that this router has taken and whose forwards are not all over."""
+
+    demand: Demand
+    group: EndpointGroup
+    effect: Effect
+    prompt: int
+    taken_at: int
+    due_at: int  # when the client gives up
+    target_at: int  # when the first token is wanted
+    forwards: int = 0
+    out: Forward | None = None
+    held_at: Engine | None = None  # the reader where its state waits
+    may_have_run: Engine | None = None
+    run_window_ends: int = 0
+    answered: bool = False
+    began: bool = False
+    tried: set[str] = field(default_factory=set)
