--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -39,6 +39,9 @@
 
 # Labels of wake-ups: a req's own is its id, shifted.
 TURN_OF_WINDOW = 1
+LOOK_ROUND = 2
+
+LOOK_EVERY = 100_000  # how often forwards at silent engines are looked for
 
 
 def rank(key: str, engine: str) -> bytes:
@@ -71,6 +74,7 @@
         self.sent = {role: 0 for role in ("read", "write", "both")}  # to warm engines, in this window
         self.usual = dict.fromkeys(self.sent, 0.0)  # sends to one warm engine in a window
         host.wake(self.window, TURN_OF_WINDOW)
+        host.wake(LOOK_EVERY, LOOK_ROUND)
         self.ask_again = False
         if self.must_ask:
             host.watch_engines()
@@ -151,6 +155,8 @@
     ) -> None:  # fmt: skip
         now = self.host.now()
         engine = self.engines.get(name)
+        if engine and ending not in (Ending.TIMED_OUT, Ending.CANCELLED, Ending.NOT_SENT, Ending.UNREACHABLE):
+            engine.heard_at = now
         if engine and report:
             engine.report, engine.report_at = report, now
         req = self.reqs.get(req_id)
@@ -190,6 +196,8 @@
     def on_wake(self, label: int) -> None:
         if label == TURN_OF_WINDOW:
             return self._turn_of_window()
+        if label == LOOK_ROUND:
+            return self._look_round()
         req = self.reqs.get(label >> 2)
         if req and not req.answered and not req.began:
             req.answered = True
@@ -273,12 +281,28 @@
     # Health, as far as this router's own forwards show it.
 
     def _well(self, engine: Engine, now: int) -> bool:
-        """Not suspect, and its oldest unanswered forward is not overdue. Guards against an engine that takes work and
-        does not answer as its peers do: silent, slow, fallen over, or behind a broken link."""
-        if engine.strikes:
-            return False
+        """Neither suspect nor silent."""
+        return not engine.strikes and not self._silent(engine, now)
+
+    def _silent(self, engine: Engine, now: int) -> bool:
+        """Nothing heard from it for much longer than its oldest unanswered forward ought to take. Guards against an
+        engine that takes work and does not answer: gone, cut off, hung. One that is only busy answers others."""
         oldest = next(iter(engine.out.values()), None)
-        return oldest is None or now - oldest.sent_at <= self._patience(oldest)
+        return oldest is not None and now - max(oldest.sent_at, engine.heard_at) > self._patience(oldest)
+
+    def _look_round(self) -> None:
+        """What a silent engine holds is called off and tried elsewhere, in time for an answer; what must not run twice
+        stays there and hopes. A busy engine is never called off from: where cancels stop no work, that is waste."""
+        now = self.host.now()
+        for engine in self.engines.values():
+            if self.may_cancel and self._silent(engine, now):
+                self._strike(engine, now)
+                for req_id, number in list(engine.out):
+                    req = self.reqs[req_id]
+                    if engine.role == "read" or req.effect is not Effect.NON_REPLAYABLE:
+                        self.host.cancel(req_id, number)
+                engine.heard_at = now
+        self.host.wake(LOOK_EVERY, LOOK_ROUND)
 
     def _trial(self, engine: Engine, req: Req, now: int) -> bool:
         """A suspect gets one forward at a time, now and then, and never one that must not run twice."""
@@ -302,6 +326,7 @@
     def _first_answer(self, req: Req, forward: Forward, took: int) -> None:
         """The engine answered: a prompt is read or a stream has begun. What it took is compared with the usual."""
         engine, now, pace = forward.engine, self.host.now(), self.pace[self._work(forward)]
+        engine.heard_at = now
         per_1000 = took * 1000 // (forward.backlog + OVERHEAD)
         usual = pace.quantile(0.5) if pace.total >= ENOUGH else per_1000
         pace.add(per_1000)
@@ -353,12 +378,6 @@
         tokens = 0 if work == "read" else req.prompt + req.demand.max_out
         backlog = req.prompt if work == "fetch" else self._backlog(engine) + req.prompt
         forward = Forward(req.forwards, engine, now, tokens, unread, backlog, work == "read")
-        # A forward is not waited for to the end of the budget while another could still be made of what is left.
-        abandon_at = req.due_at
-        may_repeat = work == "read" or req.effect is not Effect.NON_REPLAYABLE
-        if may_repeat and req.forwards + 2 < self.max_forwards:
-            wait = max(self._patience(forward), (req.target_at - req.taken_at) // 2)
-            abandon_at = min(req.due_at, now + max(min(wait, (req.due_at - now) // 2), 1))
         engine.tokens += tokens
         engine.unread += unread
         engine.out[req.demand.id, forward.number] = forward
@@ -368,7 +387,7 @@
             self.sent[engine.role] += 1
         req.out = forward
         req.forwards += 1
-        self.host.forward(req.demand.id, engine.name, abandon_at)
+        self.host.forward(req.demand.id, engine.name, req.due_at)
 
     def _unload(self, req: Req, forward: Forward) -> None:
         forward.engine.tokens -= forward.tokens
--- a/lifthead/state.py
+++ b/lifthead/state.py
@@ -68,7 +68,7 @@
     out: dict[tuple[int, int], Forward] = field(default_factory=dict)  # waiting for a first answer, oldest first
     report: LoadReport | None = None
     report_at: int = 0
-    probed_at: int = 0
+    heard_at: int = 0
     cold_until: int = 0
     cold_sends: deque[int] = field(default_factory=deque)
     strikes: int = 0
