Suspicion from slowness removed: loaded writers looked sick and their zone tipped

Cause: a fetch that waits for a writer's memory was taken for a slow engine, its zone's other writers got the rest. Own-token draw and bounded backlogs steer off slow engines anyway (two overlapping defences folded into one). Might hurt: an engine that is slow without piling up tokens of ours.

--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -29,7 +29,6 @@
 OVERHEAD = 1000  # tokens' worth of time that any first answer takes, however short its prompt
 ENOUGH = 12  # measurements before a histogram is believed
 PATIENCE = 5.0  # a forward is waited for this many times what nine in ten of its kind take
-SLOW = 3.0  # an engine is suspect when its median first answer takes this many times the usual
 TRIAL_AFTER = 1_000_000  # a suspect's first trial; twice as long after each further strike
 TRIAL_LIMIT = 8_000_000
 FRESH = 1_500_000  # age to which a load report is believed
@@ -93,10 +92,10 @@
                 role, memory = self.roles.get(entry.kind, "both"), self.memory.get(entry.kind, 0)
                 engine = self.engines[entry.engine] = Engine(
                     entry.engine, entry.zone, entry.cell, entry.kind, role, entry.weight, memory,
-                    entry.up_since, False, Histogram(1, 10, 32),
+                    entry.up_since, False,
                 )  # fmt: skip
             elif entry.up_since != engine.up_since:  # it came back under the same name: what was held against it is void
-                engine.strikes, engine.report, engine.pace = 0, None, Histogram(1, 10, 32)
+                engine.strikes, engine.report = 0, None
             engine.zone, engine.cell, engine.weight = entry.zone, entry.cell, entry.weight or 1.0
             engine.ready, engine.up_since = entry.readiness == "ready", entry.up_since
             if entry.up_since:
@@ -324,25 +323,17 @@
         engine.strikes += 1
 
     def _first_answer(self, req: Req, forward: Forward, took: int) -> None:
-        """The engine answered: a prompt is read or a stream has begun. What it took is compared with the usual."""
+        """The engine answered: a prompt is read or a stream has begun."""
         engine, now, pace = forward.engine, self.host.now(), self.pace[self._work(forward)]
         engine.heard_at = now
         per_1000 = took * 1000 // (forward.backlog + OVERHEAD)
-        usual = pace.quantile(0.5) if pace.total >= ENOUGH else per_1000
         pace.add(per_1000)
         forward.begun = True
         engine.unread -= forward.unread
         engine.out.pop((req.demand.id, forward.number), None)
-        slowness = per_1000 / max(usual, 1)
-        engine.pace.add(slowness * 4)
-        if engine.strikes:
-            if slowness <= SLOW:  # back: what fell silent is likely cold, whether or not the list has said so
-                engine.strikes, engine.pace = 0, Histogram(1, 10, 32)
-                engine.cold_until = max(engine.cold_until, now + self.warm_within)
-            else:
-                self._strike(engine, now)
-        elif engine.pace.total >= ENOUGH and engine.pace.quantile(0.5) > SLOW * 4:
-            self._strike(engine, now)
+        if engine.strikes:  # back: what fell silent is likely cold, whether or not the list has said so
+            engine.strikes = 0
+            engine.cold_until = max(engine.cold_until, now + self.warm_within)
 
     # Cold engines.
 
--- a/lifthead/state.py
+++ b/lifthead/state.py
@@ -62,7 +62,6 @@
     memory: int
     up_since: int
     ready: bool
-    pace: Histogram
     tokens: int = 0  # of this router's forwards: prompt plus allowed output
     unread: int = 0  # of this router's forwards: prompt tokens not known to be read
     out: dict[tuple[int, int], Forward] = field(default_factory=dict)  # waiting for a first answer, oldest first
