--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -25,6 +25,9 @@
 HOT_TIMES = 2.0  # a reader is passed over when its backlog is this many times the mean of its peers ...
 HOT_SLACK = 8192  # ... and this many tokens besides
 
+FULL = 0.85  # a zone whose writers hold this share of their memory is full; reqs are served in another ...
+EMPTIER = 0.15  # ... if one's writers hold this much less
+
 # Health.
 OVERHEAD = 1000  # tokens' worth of time that any first answer takes, however short its prompt
 ENOUGH = 12  # measurements before a histogram is believed
@@ -71,6 +74,7 @@
         self.reqs: dict[int, Req] = {}
         self.pace = {work: Histogram(1000, 14, 400) for work in ("read", "fetch", "read there")}
         self.sent = {role: 0 for role in ("read", "write", "both")}  # to warm engines, in this window
+        self.mean_tokens = 0.0  # of a forward to a writer
         self.usual = dict.fromkeys(self.sent, 0.0)  # sends to one warm engine in a window
         host.wake(self.window, TURN_OF_WINDOW)
         host.wake(LOOK_EVERY, LOOK_ROUND)
@@ -126,16 +130,17 @@
         if req.forwards >= self.max_forwards or now + self.tick >= req.due_at:
             return self._give_up(req)
         if req.held_at is None:
+            home = self._home(req)
             if req.prompt < THRESHOLD or not self.readers:
-                writer = self._draw(req, self.zone, None, reads=True)
+                writer = self._draw(req, home, None, reads=True)
                 # Exception, a burst: a writer that has enough to read leaves the prompt to the reader of its key,
                 # so that short reads do not pile up in front of running streams. Also covers a flush of kept texts.
                 if writer and not (self.readers and self._crowded(writer, req)):
                     return self._forward(req, writer, "read there")
-            reader = self._reader(req)
+            reader = self._reader(req, home)
             if reader:
                 return self._forward(req, reader, "read")
-            writer = self._draw(req, self.zone, None, reads=True)
+            writer = self._draw(req, home, None, reads=True)
             return self._forward(req, writer, "read there") if writer else self._give_up(req)
         writer = self._draw(req, req.held_at.zone, req.held_at.cell, reads=False)
         return self._forward(req, writer, "fetch") if writer else self._give_up(req)
@@ -211,13 +216,26 @@
 
     # Choosing an engine.
 
-    def _reader(self, req: Req) -> Engine | None:
-        """The reader that the key hashes to: those of this zone come first, each zone's in rendezvous order."""
+    def _home(self, req: Req) -> str:
+        """The zone to serve a req in: this router's. Exception, a full zone: when its writers' memory is about used
+        up and another zone's clearly is not, both stages go there. Also covers a zone whose writers are gone, slow or
+        cold. May hurt where the way between zones is dear."""
+        zones: dict[str, list[Engine]] = {}
+        for engine in self._usable(self.writers, req):
+            zones.setdefault(engine.zone, []).append(engine)
+        full = {zone: sum(map(self._pressure, engines)) / len(engines) for zone, engines in zones.items()}
+        if not full or full.get(self.zone, 9.0) <= FULL:
+            return self.zone
+        other = min(full, key=lambda zone: (full[zone], zone))
+        return other if full[other] + EMPTIER < full.get(self.zone, 9.0) else self.zone
+
+    def _reader(self, req: Req, home: str) -> Engine | None:
+        """The reader that the key hashes to: those of the home zone come first, each zone's in rendezvous order."""
         usable = self._usable(self.readers, req)
         if not usable:
             return None
         key = req.demand.beginning or req.demand.session
-        order = sorted(usable, key=lambda engine: (engine.zone != self.zone, rank(key, engine.name)))
+        order = sorted(usable, key=lambda engine: (engine.zone != home, rank(key, engine.name)))
         # Exception, a hot beginning: a reader clearly more loaded than its peers is passed over for the next in the
         # key's order, so a beginning stays on few readers. Also covers a zone that gets more than its readers can do.
         backlogs = {engine.name: self._backlog(engine) for engine in usable}
@@ -264,6 +282,18 @@
         """This router's tokens there, as a share of the engine's memory and size."""
         return engine.tokens / ((engine.memory or 1) * engine.weight)
 
+    def _pressure(self, engine: Engine) -> float:
+        """Share of a writer's memory that is held or waited for, past 1 where reqs queue: by this router's own tokens,
+        or by the engine's fresh word if that is more."""
+        memory = engine.memory or 1
+        own, report = engine.tokens / memory, engine.report
+        if report is None or report.memory_used is None or self.host.now() - engine.report_at > FRESH:
+            return own
+        waiting = (report.unread_thousands or 0) * 1000 if report.queued else 0
+        if report.unread_thousands is None and report.queued:
+            waiting = report.queued * self.mean_tokens
+        return max(own, report.memory_used + waiting / memory)
+
     def _backlog(self, engine: Engine) -> int:
         """Prompt tokens that wait to be read there: this router's own, or the engine's fresh word if that is more."""
         report = engine.report
@@ -275,7 +305,7 @@
         report = engine.report
         if report and report.queued and self.host.now() - engine.report_at < FRESH:
             return True
-        return self._backlog(engine) + req.prompt > LOCAL_UNREAD
+        return self._pressure(engine) > FULL or self._backlog(engine) + req.prompt > LOCAL_UNREAD
 
     # Health, as far as this router's own forwards show it.
 
@@ -370,6 +400,8 @@
         backlog = req.prompt if work == "fetch" else self._backlog(engine) + req.prompt
         forward = Forward(req.forwards, engine, now, tokens, unread, backlog, work == "read")
         engine.tokens += tokens
+        if tokens:
+            self.mean_tokens += (tokens - self.mean_tokens) / 32
         engine.unread += unread
         engine.out[req.demand.id, forward.number] = forward
         if now < engine.cold_until:
