--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -27,6 +27,7 @@
 
 FULL = 0.85  # a zone whose writers hold this share of their memory is full; reqs are served in another ...
 EMPTIER = 0.15  # ... if one's writers hold this much less
+HOPELESS = 1.0  # a req is pushed back when its wait is expected to be this part of its response target
 
 # Health.
 OVERHEAD = 1000  # tokens' worth of time that any first answer takes, however short its prompt
@@ -73,6 +74,7 @@
         self.writers: list[Engine] = []  # ready ones, mixed included, by name
         self.reqs: dict[int, Req] = {}
         self.pace = {work: Histogram(1000, 14, 400) for work in ("read", "fetch", "read there")}
+        self.streams = Histogram(100_000, 10, 400)  # how long answers stream
         self.sent = {role: 0 for role in ("read", "write", "both")}  # to warm engines, in this window
         self.mean_tokens = 0.0  # of a forward to a writer
         self.usual = dict.fromkeys(self.sent, 0.0)  # sends to one warm engine in a window
@@ -138,6 +140,8 @@
                 if writer and not (self.readers and self._crowded(writer, req)):
                     return self._forward(req, writer, "read there")
             reader = self._reader(req, home)
+            if self._hopeless(req, home, reader):
+                return self._give_up(req)
             if reader:
                 return self._forward(req, reader, "read")
             writer = self._draw(req, home, None, reads=True)
@@ -169,6 +173,8 @@
         forward, req.out = req.out, None
         if not forward.begun and ending in (Ending.READ, Ending.DONE):
             self._first_answer(req, forward, took)
+        if ending is Ending.DONE:
+            self.streams.add(took - forward.first_took)
         self._unload(req, forward)
         if ending in (Ending.TIMED_OUT, Ending.UNREACHABLE, Ending.BROKEN):
             self._strike(forward.engine, now)
@@ -242,6 +248,19 @@
         bound = HOT_TIMES * sum(backlogs.values()) / len(usable) + HOT_SLACK
         return next((engine for engine in order if backlogs[engine.name] <= bound), order[0])
 
+    def _hopeless(self, req: Req, home: str, reader: Engine | None) -> bool:
+        """Whether the first token can't be expected in time: writers whose memory is asked for beyond all they have
+        let go of it as their streams end, and a reader's backlog goes at the usual pace. Work that would come too late
+        is not begun: it would be waste, and make others late."""
+        writers = [engine for engine in self._usable(self.writers, req) if engine.zone == home]
+        wait = 0.0
+        if writers:
+            beyond = sum(map(self._pressure, writers)) / len(writers) - 1
+            wait = max(beyond, 0) * self.streams.quantile(0.5)
+        if reader and self.pace["read"].total >= ENOUGH:
+            wait += self.pace["read"].quantile(0.5) * (self._backlog(reader) + req.prompt + OVERHEAD) / 1000
+        return wait > HOPELESS * (req.target_at - req.taken_at)
+
     def _draw(self, req: Req, zone: str, cell: int | None, reads: bool) -> Engine | None:
         """One writer of the cell and one of the zone; the cell's is kept unless it clearly carries more."""
         usable = self._usable(self.writers, req)
@@ -358,7 +377,7 @@
         engine.heard_at = now
         per_1000 = took * 1000 // (forward.backlog + OVERHEAD)
         pace.add(per_1000)
-        forward.begun = True
+        forward.begun, forward.first_took = True, took
         engine.unread -= forward.unread
         engine.out.pop((req.demand.id, forward.number), None)
         if engine.strikes:  # back: what fell silent is likely cold, whether or not the list has said so
--- a/lifthead/state.py
+++ b/lifthead/state.py
@@ -47,6 +47,7 @@
     backlog: int  # unread tokens that were known at the engine, its own included
     reading: bool  # at a reader
     begun: bool = False
+    first_took: int = 0  # from the sending to the end of the read or the first token
 
 
 @dataclass(slots=True, eq=False)
