--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -21,10 +21,11 @@
 HEAVIER_BY = 0.02  # ... and this share of a writer's memory besides
 
 # Exceptions to it.
-LOCAL_UNREAD = 20000  # tokens of this router's that a writer may have to read before short prompts go to a reader
+LOCAL_UNREAD = 2048  # tokens of this router's that a writer may have to read before short prompts go to a reader
 HOT_TIMES = 2.0  # a reader is passed over when its backlog is this many times the mean of its peers ...
 HOT_SLACK = 8192  # ... and this many tokens besides
 
+BUSY = 0.85  # a writer that holds this share of its memory reads nothing itself
 FULL = 0.85  # a zone whose writers hold this share of their memory is full; reqs are served in another ...
 EMPTIER = 0.15  # ... if one's writers hold this much less
 HOPELESS = 1.0  # a req is pushed back when its wait is expected to be this part of its response target
@@ -324,7 +325,7 @@
         report = engine.report
         if report and report.queued and self.host.now() - engine.report_at < FRESH:
             return True
-        return self._pressure(engine) > FULL or self._backlog(engine) + req.prompt > LOCAL_UNREAD
+        return self._pressure(engine) > BUSY or self._backlog(engine) + req.prompt > LOCAL_UNREAD
 
     # Health, as far as this router's own forwards show it.
 
