--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -28,8 +28,11 @@
 BUSY = 0.85  # a writer that holds this share of its memory reads nothing itself
 FULL = 0.85  # a zone whose writers hold this share of their memory is full; reqs are served in another ...
 EMPTIER = 0.15  # ... if one's writers hold this much less
+DROWNED = 0.5  # a read expected to take this part of the response target is made elsewhere if that is sooner
 HOPELESS = 1.0  # a req is pushed back when its wait is expected to be this part of its response target
 
+NEVER = 1 << 62
+
 # Health.
 OVERHEAD = 1000  # tokens' worth of time that any first answer takes, however short its prompt
 ENOUGH = 12  # measurements before a histogram is believed
@@ -141,12 +144,16 @@
                 if writer and not (self.readers and self._crowded(writer, req)):
                     return self._forward(req, writer, "read there")
             reader = self._reader(req, home)
-            if self._hopeless(req, home, reader):
+            wait = self._wait(reader, req, "read") if reader else NEVER
+            if wait > DROWNED * (req.target_at - now):
+                # Exception, drowned readers: a prompt of any length is read where it is written, at a mixed server
+                # rather than a writer, if that is sooner. Covers readers gone, slow or flushed, and hot beginnings.
+                writer = self._draw(req, home, None, reads=True, mixed=True)
+                if writer and self._pressure(writer) <= FULL and self._wait(writer, req, "read there") < wait:
+                    return self._forward(req, writer, "read there")
+            if reader is None or self._hopeless(req, home, wait):
                 return self._give_up(req)
-            if reader:
-                return self._forward(req, reader, "read")
-            writer = self._draw(req, home, None, reads=True)
-            return self._forward(req, writer, "read there") if writer else self._give_up(req)
+            return self._forward(req, reader, "read")
         writer = self._draw(req, req.held_at.zone, req.held_at.cell, reads=False)
         return self._forward(req, writer, "fetch") if writer else self._give_up(req)
 
@@ -249,24 +256,30 @@
         bound = HOT_TIMES * sum(backlogs.values()) / len(usable) + HOT_SLACK
         return next((engine for engine in order if backlogs[engine.name] <= bound), order[0])
 
-    def _hopeless(self, req: Req, home: str, reader: Engine | None) -> bool:
+    def _wait(self, engine: Engine, req: Req, work: str) -> float:
+        """How long a read there is expected to take, by its backlog and the usual pace of such work."""
+        pace = self.pace[work]
+        if pace.total < ENOUGH:
+            return 0
+        return pace.quantile(0.5) * (self._backlog(engine) + req.prompt + OVERHEAD) / 1000
+
+    def _hopeless(self, req: Req, home: str, wait: float) -> bool:
         """Whether the first token can't be expected in time: writers whose memory is asked for beyond all they have
         let go of it as their streams end, and a reader's backlog goes at the usual pace. Work that would come too late
         is not begun: it would be waste, and make others late."""
         writers = [engine for engine in self._usable(self.writers, req) if engine.zone == home]
-        wait = 0.0
         if writers:
             beyond = sum(map(self._pressure, writers)) / len(writers) - 1
-            wait = max(beyond, 0) * self.streams.quantile(0.5)
-        if reader and self.pace["read"].total >= ENOUGH:
-            wait += self.pace["read"].quantile(0.5) * (self._backlog(reader) + req.prompt + OVERHEAD) / 1000
+            wait += max(beyond, 0) * self.streams.quantile(0.5)
         return wait > HOPELESS * (req.target_at - req.taken_at)
 
-    def _draw(self, req: Req, zone: str, cell: int | None, reads: bool) -> Engine | None:
+    def _draw(self, req: Req, zone: str, cell: int | None, reads: bool, mixed: bool = False) -> Engine | None:
         """One writer of the cell and one of the zone; the cell's is kept unless it clearly carries more."""
         usable = self._usable(self.writers, req)
         if reads and not self.writers_read:
             usable = [engine for engine in usable if engine.role == "both"]
+        if mixed:
+            usable = [engine for engine in usable if engine.role == "both"] or usable
         in_zone = [engine for engine in usable if engine.zone == zone] or usable
         if not in_zone:
             return None
@@ -362,7 +375,7 @@
     def _patience(self, forward: Forward) -> int:
         pace = self.pace[self._work(forward)]
         if pace.total < ENOUGH:
-            return 1 << 62
+            return NEVER
         return int(PATIENCE * pace.quantile(0.9) * (forward.backlog + OVERHEAD) / 1000)
 
     def _work(self, forward: Forward) -> str:
