Only mixed servers step in for drowned readers; pushback once 70% of the target would be waited for

A pure writer that reads long prompts slows its streams. May hurt: reqs pushed back that would just have made it.

--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -29,7 +29,7 @@
 FULL = 0.85  # a zone whose writers hold this share of their memory is full; reqs are served in another ...
 EMPTIER = 0.15  # ... if one's writers hold this much less
 DROWNED = 0.5  # a read expected to take this part of the response target is made elsewhere if that is sooner
-HOPELESS = 1.0  # a req is pushed back when its wait is expected to be this part of its response target
+HOPELESS = 0.7  # a req is pushed back when its wait is expected to be this part of its response target
 
 NEVER = 1 << 62
 
@@ -279,7 +279,7 @@
         if reads and not self.writers_read:
             usable = [engine for engine in usable if engine.role == "both"]
         if mixed:
-            usable = [engine for engine in usable if engine.role == "both"] or usable
+            usable = [engine for engine in usable if engine.role == "both"]
         in_zone = [engine for engine in usable if engine.zone == zone] or usable
         if not in_zone:
             return None
