--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -253,8 +253,12 @@
         # Exception, a hot beginning: a reader clearly more loaded than its peers is passed over for the next in
         # the key's order, so a beginning stays on few readers. Also covers a zone that gets too much to read.
         backlogs = {engine.name: self._backlog(engine) for engine in usable}
-        bound = HOT_TIMES * sum(backlogs.values()) / len(usable) + HOT_SLACK
-        return next((engine for engine in order if backlogs[engine.name] <= bound), order[0])
+        total, peers = sum(backlogs.values()), max(len(usable) - 1, 1)
+        for engine in order:
+            own = backlogs[engine.name]
+            if own <= HOT_TIMES * (total - own) / peers + HOT_SLACK:
+                return engine
+        return order[0]
 
     def _wait(self, engine: Engine, req: Req, work: str) -> float:
         """How long a read there is expected to take, by its backlog and the usual pace of such work."""
@@ -402,8 +406,8 @@
 
     def _cold_room(self, engine: Engine, now: int) -> bool:
         """Rule 4 without word from the other routers: each sends a cold engine at most a fixed part of what it
-        sends a warm one, so all together send at most that part of what a warm one gets. Below that, the engine's
-        own reports decide: one that says reqs wait there gets nothing more."""
+        sends a warm one, so all together send at most that part of what a warm one gets. Below that, the
+        engine's own reports decide: one that says reqs wait there gets nothing more."""
         if now >= engine.cold_until:
             return True
         while engine.cold_sends and engine.cold_sends[0] <= now - self.window:
@@ -456,13 +460,13 @@
         ran = req.may_have_run is not None
         harmless = req.effect is Effect.REPLAYABLE or not ran
         if harmless or (req.effect is Effect.KEYED and req.group.keyed_within == "all"):
-            self.host.push_back(req.demand.id, self.hold_off and self.chance.randint(self.hold_off // 2, self.hold_off))
+            self.host.push_back(req.demand.id, self.chance.randint(self.hold_off // 2, self.hold_off))
         else:
             self.host.abort(req.demand.id)
         self._let_go(req)
 
     def _let_go(self, req: Req) -> None:
-        """Rule 5: no answer frees what is held, so it is freed with each; what is out is called off where allowed."""
+        """Rule 5: no answer frees what is held, so it is freed with each; what is out is called off if allowed."""
         if req.out and not req.began and self.may_cancel:
             self.host.cancel(req.demand.id, req.out.number)
         self.host.free_state(req.demand.id)
