--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -284,7 +284,10 @@
             usable = [engine for engine in usable if engine.role == "both"]
         if mixed:
             usable = [engine for engine in usable if engine.role == "both"]
-        in_zone = [engine for engine in usable if engine.zone == zone] or usable
+        # Exception, a full writer: one that has no room leaves the draw while others in the zone, or else in another
+        # zone, have some. Covers what own tokens don't show: other routers' reqs, few slots, slow streams.
+        room = [engine for engine in usable if self._pressure(engine) < 1]
+        in_zone = [e for e in room if e.zone == zone] or room or [e for e in usable if e.zone == zone] or usable
         if not in_zone:
             return None
         in_cell = [engine for engine in in_zone if engine.cell == cell] or in_zone
@@ -320,16 +323,16 @@
         return engine.tokens / ((engine.memory or 1) * engine.weight)
 
     def _pressure(self, engine: Engine) -> float:
-        """Share of a writer's memory that is held or waited for, past 1 where reqs queue: by this router's own tokens,
+        """Share of a writer's memory or slots that is held, past 1 where reqs queue: by this router's own tokens,
         or by the engine's fresh word if that is more."""
-        memory = engine.memory or 1
-        own, report = engine.tokens / memory, engine.report
-        if report is None or report.memory_used is None or self.host.now() - engine.report_at > FRESH:
+        own, report = engine.tokens / (engine.memory or 1), engine.report
+        if report is None or self.host.now() - engine.report_at > FRESH:
             return own
-        waiting = (report.unread_thousands or 0) * 1000 if report.queued else 0
-        if report.unread_thousands is None and report.queued:
-            waiting = report.queued * self.mean_tokens
-        return max(own, report.memory_used + waiting / memory)
+        held = max(report.memory_used or 0, report.slots_used or 0)
+        if report.queued:
+            running = (report.held or 0) - report.queued or (engine.memory or 1) / max(self.mean_tokens, 1)
+            held = max(held, 1) + report.queued / max(running, 1)
+        return max(own, held)
 
     def _backlog(self, engine: Engine) -> int:
         """Prompt tokens that wait to be read there: this router's, or the engine's fresh word if that is more."""
