Kept texts are remembered for each engine; backlogs count what is to be read

Cause: whole prompts were counted though most of a prompt is kept. Also notices a flush or an untold restart (much less found than expected).

--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -33,6 +33,8 @@
 
 NEVER = 1 << 62
 
+KEPT_KEYS = 256  # sessions and beginnings remembered for an engine
+
 # Health.
 OVERHEAD = 1000  # tokens' worth of time that any first answer takes, however short its prompt
 ENOUGH = 12  # measurements before a histogram is believed
@@ -181,6 +183,8 @@
         forward, req.out = req.out, None
         if not forward.begun and ending in (Ending.READ, Ending.DONE):
             self._first_answer(req, forward, took)
+        if forward.unread and ending in (Ending.READ, Ending.DONE):
+            self._keeps(forward.engine, req, forward.unread, note)
         if ending is Ending.DONE:
             self.streams.add(took - forward.first_took)
         self._unload(req, forward)
@@ -265,7 +269,7 @@
         pace = self.pace[work]
         if pace.total < ENOUGH:
             return 0
-        return pace.quantile(0.5) * (self._backlog(engine) + req.prompt + OVERHEAD) / 1000
+        return pace.quantile(0.5) * (self._backlog(engine) + self._unread(engine, req) + OVERHEAD) / 1000
 
     def _hopeless(self, req: Req, home: str, wait: float) -> bool:
         """Whether the first token can't be expected in time: writers whose memory is asked for beyond all they have
@@ -341,11 +345,30 @@
             return max(engine.unread, int(report.unread_thousands * 1000))
         return engine.unread
 
+    def _unread(self, engine: Engine, req: Req) -> int:
+        """Prompt tokens that the engine is expected to have to read: those past the text that it keeps."""
+        kept = engine.kept
+        known = max(kept.get(req.demand.session, 0), kept.get(req.demand.beginning, 0))
+        return max(req.prompt - known, 1)
+
+    def _keeps(self, engine: Engine, req: Req, unread: int, found: int) -> None:
+        """Notes what an engine has read. One that found much less than expected has lost its texts: a flush, a restart
+        that no list has told of, a memory too small. Then nothing is taken for kept until it is read there again."""
+        kept = engine.kept
+        if found < (req.prompt - unread) / 2:
+            kept.clear()
+        for key, length in ((req.demand.beginning, req.demand.beginning_len), (req.demand.session, req.prompt)):
+            kept.pop(key, None)
+            if key:
+                kept[key] = length
+        while len(kept) > KEPT_KEYS:
+            del kept[next(iter(kept))]
+
     def _crowded(self, engine: Engine, req: Req) -> bool:
         report = engine.report
         if report and report.queued and self.host.now() - engine.report_at < FRESH:
             return True
-        return self._pressure(engine) > BUSY or self._backlog(engine) + req.prompt > LOCAL_UNREAD
+        return self._pressure(engine) > BUSY or self._backlog(engine) + self._unread(engine, req) > LOCAL_UNREAD
 
     # Health, as far as this router's own forwards show it.
 
@@ -435,9 +458,9 @@
 
     def _forward(self, req: Req, engine: Engine, work: str) -> None:
         now = self.host.now()
-        unread = 0 if work == "fetch" else req.prompt
+        unread = 0 if work == "fetch" else self._unread(engine, req)
         tokens = 0 if work == "read" else req.prompt + req.demand.max_out
-        backlog = req.prompt if work == "fetch" else self._backlog(engine) + req.prompt
+        backlog = req.prompt if work == "fetch" else self._backlog(engine) + unread
         forward = Forward(req.forwards, engine, now, tokens, unread, backlog, work == "read")
         engine.tokens += tokens
         if tokens:
--- a/lifthead/state.py
+++ b/lifthead/state.py
@@ -71,6 +71,7 @@
     heard_at: int = 0
     cold_until: int = 0
     cold_sends: deque[int] = field(default_factory=deque)
+    kept: dict[str, int] = field(default_factory=dict)  # tokens of a session or beginning, latest last
     strikes: int = 0
     trial_at: int = 0  # while suspect: when the next trial may go
 
