--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -21,7 +21,7 @@
 HEAVIER_BY = 0.02  # ... and this share of a writer's memory besides
 
 # Exceptions to it.
-LOCAL_UNREAD = 2048  # unread tokens that a writer may have before short prompts go to a reader
+LOCAL_UNREAD = 1024  # unread tokens that a writer may have before short prompts go to a reader
 HOT_TIMES = 2.0  # a reader is passed over when its backlog is this many times the mean of its peers ...
 HOT_SLACK = 8192  # ... and this many tokens besides
 
