--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -50,6 +50,7 @@
 TURN_OF_WINDOW = 1
 LOOK_ROUND = 2
 
+PROBE_EVERY = 1_000_000
 LOOK_EVERY = 100_000  # how often forwards at silent engines are looked for
 
 
@@ -70,6 +71,8 @@
         self.writers_read = deployment.writers_read
         self.max_forwards = deployment.max_forwards
         self.may_cancel = deployment.may_cancel
+        # Where load reports come with probes alone, they are asked for: own tokens don't show other routers' reqs.
+        self.probes = deployment.reports_on_probe and deployment.may_probe
         self.hold_off = deployment.max_hold_off if deployment.may_hold_off else 0
         self.window = max(deployment.overload_for, 1)
         self.warm_within = deployment.warm_within
@@ -254,15 +257,12 @@
             return None
         key = req.demand.beginning or req.demand.session
         order = sorted(usable, key=lambda engine: (engine.zone != home, rank(key, engine.name)))
-        # Exception, a hot beginning: a reader clearly more loaded than its peers is passed over for the next in
-        # the key's order, so a beginning stays on few readers. Also covers a zone that gets too much to read.
-        backlogs = {engine.name: self._backlog(engine) for engine in usable}
-        total, peers = sum(backlogs.values()), max(len(usable) - 1, 1)
-        for engine in order:
-            own = backlogs[engine.name]
-            if own <= HOT_TIMES * (total - own) / peers + HOT_SLACK:
-                return engine
-        return order[0]
+        # Exception, a hot beginning: a reader is passed over for the next in the key's order when what waits there
+        # and what it would have to read of this prompt is clearly more than elsewhere, kept text considered. So a
+        # beginning stays on few readers. Also covers a zone that gets too much to read.
+        costs = {engine.name: self._backlog(engine) + self._unread(engine, req) for engine in usable}
+        bound = HOT_TIMES * min(costs.values()) + HOT_SLACK
+        return next(engine for engine in order if costs[engine.name] <= bound)
 
     def _wait(self, engine: Engine, req: Req, work: str) -> float:
         """How long a read there is expected to take, by its backlog and the usual pace of such work."""
@@ -394,6 +394,9 @@
                     if engine.role == "read" or req.effect is not Effect.NON_REPLAYABLE:
                         self.host.cancel(req_id, number)
                 engine.heard_at = now
+            if self.probes and engine.ready and now - engine.probed_at >= PROBE_EVERY:
+                engine.probed_at = now
+                self.host.probe(engine.name)
         self.host.wake(LOOK_EVERY, LOOK_ROUND)
 
     def _trial(self, engine: Engine, req: Req, now: int) -> bool:
--- a/lifthead/state.py
+++ b/lifthead/state.py
@@ -69,6 +69,7 @@
     report: LoadReport | None = None
     report_at: int = 0
     heard_at: int = 0
+    probed_at: int = 0
     cold_until: int = 0
     cold_sends: deque[int] = field(default_factory=deque)
     kept: dict[str, int] = field(default_factory=dict)  # tokens of a session or beginning, latest last
