--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -151,10 +151,11 @@
             reader = self._reader(req, home)
             wait = self._wait(reader, req, "read") if reader else NEVER
             if wait > DROWNED * (req.target_at - now):
-                # Exception, drowned readers: a prompt of any length is read where it is written, at a mixed server
-                # rather than a writer, if that is sooner. Covers readers gone, slow or flushed, and hot beginnings.
-                writer = self._draw(req, home, None, reads=True, mixed=True)
-                if writer and self._pressure(writer) <= FULL and self._wait(writer, req, "read there") < wait:
+                # Exception, drowned readers: a prompt of any length is read where it is written if that is sooner,
+                # at a mixed server, or at a writer that keeps so much of it that what is left is a short read.
+                # Covers readers gone, slow or flushed, and hot beginnings.
+                writer = self._stand_in(req, home)
+                if writer and self._wait(writer, req, "read there") < wait:
                     return self._forward(req, writer, "read there")
             if reader is None or self._hopeless(req, home, wait):
                 return self._give_up(req)
@@ -186,8 +187,8 @@
         forward, req.out = req.out, None
         if not forward.begun and ending in (Ending.READ, Ending.DONE):
             self._first_answer(req, forward, took)
-        if forward.unread and ending in (Ending.READ, Ending.DONE):
-            self._keeps(forward.engine, req, forward.unread, note)
+        if ending in (Ending.READ, Ending.DONE):
+            self._keeps(forward.engine, req, forward.unread or req.prompt, note)
         if ending is Ending.DONE:
             self.streams.add(took - forward.first_took)
         self._unload(req, forward)
@@ -264,6 +265,16 @@
         bound = HOT_TIMES * min(costs.values()) + HOT_SLACK
         return next(engine for engine in order if costs[engine.name] <= bound)
 
+    def _stand_in(self, req: Req, home: str) -> Engine | None:
+        able = [
+            engine
+            for engine in self._usable(self.writers, req)
+            if engine.zone == home
+            and self._pressure(engine) <= FULL
+            and (engine.role == "both" or (self.writers_read and not self._crowded(engine, req)))
+        ]
+        return min(able, key=lambda engine: (self._wait(engine, req, "read there"), engine.name), default=None)
+
     def _wait(self, engine: Engine, req: Req, work: str) -> float:
         """How long a read there is expected to take, by its backlog and the usual pace of such work."""
         pace = self.pace[work]
@@ -281,13 +292,11 @@
             wait += max(beyond, 0) * self.streams.quantile(0.5)
         return wait > HOPELESS * (req.target_at - req.taken_at)
 
-    def _draw(self, req: Req, zone: str, cell: int | None, reads: bool, mixed: bool = False) -> Engine | None:
+    def _draw(self, req: Req, zone: str, cell: int | None, reads: bool) -> Engine | None:
         """One writer of the cell and one of the zone; the cell's is kept unless it clearly carries more."""
         usable = self._usable(self.writers, req)
         if reads and not self.writers_read:
             usable = [engine for engine in usable if engine.role == "both"]
-        if mixed:
-            usable = [engine for engine in usable if engine.role == "both"]
         # Exception, a full writer: one that has no room leaves the draw while others in the zone, or else in another
         # zone, have some. Covers what own tokens don't show: other routers' reqs, few slots, slow streams.
         room = [engine for engine in usable if self._pressure(engine) < 1]
