--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -187,7 +187,7 @@
         forward, req.out = req.out, None
         if not forward.begun and ending in (Ending.READ, Ending.DONE):
             self._first_answer(req, forward, took)
-        if ending in (Ending.READ, Ending.DONE):
+        if forward.unread and ending in (Ending.READ, Ending.DONE):
             self._keeps(forward.engine, req, forward.unread or req.prompt, note)
         if ending is Ending.DONE:
             self.streams.add(took - forward.first_took)
