--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -25,7 +25,7 @@
 HOT_TIMES = 2.0  # a reader is passed over when its backlog is this many times the mean of its peers ...
 HOT_SLACK = 8192  # ... and this many tokens besides
 
-BUSY = 0.85  # a writer that holds this share of its memory reads nothing itself
+BUSY = 0.6  # a writer that holds this share of its memory reads nothing itself
 FULL = 0.85  # a zone whose writers hold this share of their memory is full; reqs are served in another ...
 EMPTIER = 0.15  # ... if one's writers hold this much less
 DROWNED = 0.5  # a read expected to take this part of the response target is made elsewhere if that is sooner
@@ -187,7 +187,7 @@
         forward, req.out = req.out, None
         if not forward.begun and ending in (Ending.READ, Ending.DONE):
             self._first_answer(req, forward, took)
-        if forward.unread and ending in (Ending.READ, Ending.DONE):
+        if ending in (Ending.READ, Ending.DONE):
             self._keeps(forward.engine, req, forward.unread or req.prompt, note)
         if ending is Ending.DONE:
             self.streams.add(took - forward.first_took)
