Cold budget from what warm engines finish, not from what is sent; no mass call-offs

Also covers retry storms and crashed roles; may hurt a fleet just started, which gets one send a window at first.

--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -84,9 +84,9 @@
         self.reqs: dict[int, Req] = {}
         self.pace = {work: Histogram(1000, 14, 400) for work in ("read", "fetch", "read there")}
         self.streams = Histogram(100_000, 10, 400)  # how long answers stream
-        self.sent = {role: 0 for role in ("read", "write", "both")}  # to warm engines, in this window
+        self.bore = {role: 0 for role in ("read", "write", "both")}  # reads and answers that warm engines finished
         self.mean_tokens = 0.0  # of a forward to a writer
-        self.usual = dict.fromkeys(self.sent, 0.0)  # sends to one warm engine in a window
+        self.usual = dict.fromkeys(self.bore, 0.0)  # of them, by one warm engine in a window
         host.wake(self.window, TURN_OF_WINDOW)
         host.wake(LOOK_EVERY, LOOK_ROUND)
         self.ask_again = False
@@ -188,6 +188,7 @@
         if not forward.begun and ending in (Ending.READ, Ending.DONE):
             self._first_answer(req, forward, took)
         if ending in (Ending.READ, Ending.DONE):
+            self.bore[forward.engine.role] += now >= forward.engine.cold_until
             self._keeps(forward.engine, req, forward.unread or req.prompt, note)
         if ending is Ending.DONE:
             self.streams.add(took - forward.first_took)
@@ -393,16 +394,20 @@
 
     def _look_round(self) -> None:
         """What a silent engine holds is called off and tried elsewhere, in time for an answer; what must not run twice
-        stays there and hopes. A busy engine is never called off from: where cancels stop no work, that is waste."""
+        stays there and hopes. A busy engine is never called off from: where cancels stop no work, that is waste. Nor
+        is one while most of its role are silent: what is called off would only be thrown from one to the next."""
         now = self.host.now()
+        silent = [engine for engine in self.readers + self.writers if self._silent(engine, now)]
+        for engine in silent:
+            role = self.readers if engine.role == "read" else self.writers
+            if not self.may_cancel or sum(other in silent for other in role) * 2 > len(role):
+                continue
+            self._strike(engine, now)
+            engine.heard_at = now
+            for req_id, number in list(engine.out):
+                if engine.role == "read" or self.reqs[req_id].effect is not Effect.NON_REPLAYABLE:
+                    self.host.cancel(req_id, number)
         for engine in self.engines.values():
-            if self.may_cancel and self._silent(engine, now):
-                self._strike(engine, now)
-                for req_id, number in list(engine.out):
-                    req = self.reqs[req_id]
-                    if engine.role == "read" or req.effect is not Effect.NON_REPLAYABLE:
-                        self.host.cancel(req_id, number)
-                engine.heard_at = now
             if self.probes and engine.ready and now - engine.probed_at >= PROBE_EVERY:
                 engine.probed_at = now
                 self.host.probe(engine.name)
@@ -443,9 +448,10 @@
     # Cold engines.
 
     def _cold_room(self, engine: Engine, now: int) -> bool:
-        """Rule 4 without word from the other routers: each sends a cold engine at most a fixed part of what it
-        sends a warm one, so all together send at most that part of what a warm one gets. Below that, the
-        engine's own reports decide: one that says reqs wait there gets nothing more."""
+        """Rule 4 without word from the other routers: each sends a cold engine at most a fixed part of what a warm
+        one finishes for it, so all together send at most that part of what a warm one can do. What is sent would
+        not do as a measure: it soars while engines fail. Below that, the engine's own reports decide: one that
+        says reqs wait there gets nothing more."""
         if now >= engine.cold_until:
             return True
         while engine.cold_sends and engine.cold_sends[0] <= now - self.window:
@@ -459,11 +465,11 @@
         if self.ask_again:
             self.ask_again = False
             self.host.watch_engines()
-        for role, sent in self.sent.items():
+        for role, bore in self.bore.items():
             warm = sum(e.role == role and e.ready and now >= e.cold_until for e in self.engines.values())
             if warm:
-                self.usual[role] += (sent / warm - self.usual[role]) / 4
-            self.sent[role] = 0
+                self.usual[role] += (bore / warm - self.usual[role]) / 4
+            self.bore[role] = 0
         self.host.wake(self.window, TURN_OF_WINDOW)
 
     # Acting.
@@ -481,8 +487,6 @@
         engine.out[req.demand.id, forward.number] = forward
         if now < engine.cold_until:
             engine.cold_sends.append(now)
-        else:
-            self.sent[engine.role] += 1
         req.out = forward
         req.forwards += 1
         self.host.forward(req.demand.id, engine.name, req.due_at)
