--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -38,7 +38,8 @@
 # Health.
 OVERHEAD = 1000  # tokens' worth of time that any first answer takes, however short its prompt
 ENOUGH = 12  # measurements before a histogram is believed
-PATIENCE = 5.0  # a forward is waited for this many times what nine in ten of its kind take
+PATIENCE = 5.0  # a forward is waited for this many times what nine in ten of its kind take ...
+OVERTAKEN = 0.4  # ... and this part of that once the engine has answered one sent later
 TRIAL_AFTER = 1_000_000  # a suspect's first trial; twice as long after each further strike
 TRIAL_LIMIT = 8_000_000
 FRESH = 1_500_000  # age to which a load report is believed
@@ -404,15 +405,27 @@
                 continue
             self._strike(engine, now)
             engine.heard_at = now
-            for req_id, number in list(engine.out):
-                if engine.role == "read" or self.reqs[req_id].effect is not Effect.NON_REPLAYABLE:
-                    self.host.cancel(req_id, number)
+            for forward in list(engine.out.values()):
+                self._call_off(forward)
         for engine in self.engines.values():
+            # A forward that later ones have overtaken, and that takes much longer than its kind does, is lost, not
+            # waiting: engines take work in order. Covers lost messages, hung requests, a slot that stands still.
+            for forward in list(engine.out.values()):
+                if forward.sent_at >= engine.overtaken or not self.may_cancel:
+                    break
+                if now - forward.sent_at > OVERTAKEN * self._patience(forward):
+                    self._call_off(forward)
             if self.probes and engine.ready and now - engine.probed_at >= PROBE_EVERY:
                 engine.probed_at = now
                 self.host.probe(engine.name)
         self.host.wake(LOOK_EVERY, LOOK_ROUND)
 
+    def _call_off(self, forward: Forward) -> None:
+        if forward.called_off or not (forward.reading or forward.may_repeat):
+            return
+        forward.called_off = True
+        self.host.cancel(forward.req, forward.number)
+
     def _trial(self, engine: Engine, req: Req, now: int) -> bool:
         """A suspect gets one forward at a time, now and then, and never one that must not run twice."""
         return bool(
@@ -436,6 +449,7 @@
         """The engine answered: a prompt is read or a stream has begun."""
         engine, now, pace = forward.engine, self.host.now(), self.pace[self._work(forward)]
         engine.heard_at = now
+        engine.overtaken = max(engine.overtaken, forward.sent_at)
         per_1000 = took * 1000 // (forward.backlog + OVERHEAD)
         pace.add(per_1000)
         forward.begun, forward.first_took = True, took
@@ -479,7 +493,10 @@
         unread = 0 if work == "fetch" else self._unread(engine, req)
         tokens = 0 if work == "read" else req.prompt + req.demand.max_out
         backlog = req.prompt if work == "fetch" else self._backlog(engine) + unread
-        forward = Forward(req.forwards, engine, now, tokens, unread, backlog, work == "read")
+        may_repeat = req.effect is not Effect.NON_REPLAYABLE
+        forward = Forward(
+            req.demand.id, req.forwards, engine, now, tokens, unread, backlog, work == "read", may_repeat
+        )
         engine.tokens += tokens
         if tokens:
             self.mean_tokens += (tokens - self.mean_tokens) / 32
