--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -1,9 +1,9 @@
 """All decisions of a lifthead router, with their tables and tuned values.
 
 How it is used: the host makes one `Router` an instance and calls one `on_...` method for each thing that
-happens. The router acts at once through the small `Host` that it was handed at start. Both the host's calls and
-the plain types that cross are in interface.py; the records kept between calls are in state.py. docs/design.md
-tells where the design comes from and when each exception to it acts.
+happens. The router acts at once through the small `Host` that it was handed at start. Both the host's calls
+and the plain types that cross are in interface.py; the records kept between calls are in state.py.
+docs/design.md tells where the design comes from and when each exception to it acts.
 
 A req's path is `_route`: read at a reader or at the writer, then written. It is entered again when the read
 has ended, and whenever a forward has failed and another is allowed. Everything else serves that path.
@@ -72,7 +72,8 @@
         self.writers_read = deployment.writers_read
         self.max_forwards = deployment.max_forwards
         self.may_cancel = deployment.may_cancel
-        # Where load reports come with probes alone, they are asked for: own tokens don't show other routers' reqs.
+        # Where load reports come with probes alone, they are asked for: own tokens don't show other routers'
+        # reqs.
         self.probes = deployment.reports_on_probe and deployment.may_probe
         self.hold_off = deployment.max_hold_off if deployment.may_hold_off else 0
         self.window = max(deployment.overload_for, 1)
@@ -85,7 +86,7 @@
         self.reqs: dict[int, Req] = {}
         self.pace = {work: Histogram(1000, 14, 400) for work in ("read", "fetch", "read there")}
         self.streams = Histogram(100_000, 10, 400)  # how long answers stream
-        self.bore = {role: 0 for role in ("read", "write", "both")}  # reads and answers that warm engines finished
+        self.bore = {role: 0 for role in ("read", "write", "both")}  # by warm engines, in this window
         self.mean_tokens = 0.0  # of a forward to a writer
         self.usual = dict.fromkeys(self.bore, 0.0)  # of them, by one warm engine in a window
         host.wake(self.window, TURN_OF_WINDOW)
@@ -97,7 +98,8 @@
     # What can happen to the list of engines.
 
     def on_engines(self, entries: list[EngineEntry], whole_list: bool, stale: bool) -> None:
-        """News of engines. Draining, gone and left-out ones get nothing from here on; the grace is not used."""
+        """News of engines. Draining, gone and left-out ones get nothing from here on; the grace is not
+        used."""
         if whole_list:
             named = {entry.engine for entry in entries}
             for engine in self.engines.values():
@@ -110,7 +112,7 @@
                     entry.engine, entry.zone, entry.cell, entry.kind, role, entry.weight, memory,
                     entry.up_since, False,
                 )  # fmt: skip
-            elif entry.up_since != engine.up_since:  # back under the same name: what was held against it is void
+            elif entry.up_since != engine.up_since:  # back under the same name: what was held against it goes
                 engine.strikes, engine.report = 0, None
             engine.zone, engine.cell, engine.weight = entry.zone, entry.cell, entry.weight or 1.0
             engine.ready, engine.up_since = entry.readiness == "ready", entry.up_since
@@ -152,9 +154,9 @@
             reader = self._reader(req, home)
             wait = self._wait(reader, req, "read") if reader else NEVER
             if wait > DROWNED * (req.target_at - now):
-                # Exception, drowned readers: a prompt of any length is read where it is written if that is sooner,
-                # at a mixed server, or at a writer that keeps so much of it that what is left is a short read.
-                # Covers readers gone, slow or flushed, and hot beginnings.
+                # Exception, drowned readers: a prompt of any length is read where it is written if that is
+                # sooner, at a mixed server, or at a writer that keeps so much of it that what is left is a
+                # short read. Covers readers gone, slow or flushed, and hot beginnings.
                 writer = self._stand_in(req, home)
                 if writer and self._wait(writer, req, "read there") < wait:
                     return self._forward(req, writer, "read there")
@@ -165,7 +167,8 @@
         return self._forward(req, writer, "fetch") if writer else self._give_up(req)
 
     def on_begun(self, req_id: int, number: int, took: int) -> None:
-        """The answer streams: it has no deadline any more and nothing is decided for it; it weighs until it ends."""
+        """The answer streams: it has no deadline any more and nothing is decided for it; it weighs until it
+        ends."""
         req = self.reqs.get(req_id)
         if req is None or req.out is None or req.out.number != number:
             return
@@ -241,9 +244,9 @@
     # Choosing an engine.
 
     def _home(self, req: Req) -> str:
-        """The zone to serve a req in: this router's. Exception, a full zone: when its writers' memory is about used
-        up and another zone's clearly is not, both stages go there. Also covers a zone whose writers are gone, slow or
-        cold. May hurt where the way between zones is dear."""
+        """The zone to serve a req in: this router's. Exception, a full zone: when its writers' memory is
+        about used up and another zone's clearly is not, both stages go there. Also covers a zone whose
+        writers are gone, slow or cold. May hurt where the way between zones is dear."""
         zones: dict[str, list[Engine]] = {}
         for engine in self._usable(self.writers, req):
             zones.setdefault(engine.zone, []).append(engine)
@@ -260,9 +263,9 @@
             return None
         key = req.demand.beginning or req.demand.session
         order = sorted(usable, key=lambda engine: (engine.zone != home, rank(key, engine.name)))
-        # Exception, a hot beginning: a reader is passed over for the next in the key's order when what waits there
-        # and what it would have to read of this prompt is clearly more than elsewhere, kept text considered. So a
-        # beginning stays on few readers. Also covers a zone that gets too much to read.
+        # Exception, a hot beginning: a reader is passed over for the next in the key's order when what waits
+        # there and what it would have to read of this prompt is clearly more than elsewhere, kept text
+        # considered. So a beginning stays on few readers. Also covers a zone that gets too much to read.
         costs = {engine.name: self._backlog(engine) + self._unread(engine, req) for engine in usable}
         bound = HOT_TIMES * min(costs.values()) + HOT_SLACK
         return next(engine for engine in order if costs[engine.name] <= bound)
@@ -275,7 +278,7 @@
             and self._pressure(engine) <= FULL
             and (engine.role == "both" or (self.writers_read and not self._crowded(engine, req)))
         ]
-        return min(able, key=lambda engine: (self._wait(engine, req, "read there"), engine.name), default=None)
+        return min(able, key=lambda e: (self._wait(e, req, "read there"), e.name), default=None)
 
     def _wait(self, engine: Engine, req: Req, work: str) -> float:
         """How long a read there is expected to take, by its backlog and the usual pace of such work."""
@@ -285,9 +288,9 @@
         return pace.quantile(0.75) * (self._backlog(engine) + self._unread(engine, req) + OVERHEAD) / 1000
 
     def _hopeless(self, req: Req, home: str, wait: float) -> bool:
-        """Whether the first token can't be expected in time: writers whose memory is asked for beyond all they have
-        let go of it as their streams end, and a reader's backlog goes at the usual pace. Work that would come too late
-        is not begun: it would be waste, and make others late."""
+        """Whether the first token can't be expected in time: writers whose memory is asked for beyond all
+        they have let go of it as their streams end, and a reader's backlog goes at the usual pace. Work that
+        would come too late is not begun: it would be waste, and make others late."""
         writers = [engine for engine in self._usable(self.writers, req) if engine.zone == home]
         if writers:
             beyond = sum(map(self._pressure, writers)) / len(writers) - 1
@@ -299,10 +302,12 @@
         usable = self._usable(self.writers, req)
         if reads and not self.writers_read:
             usable = [engine for engine in usable if engine.role == "both"]
-        # Exception, a full writer: one that has no room leaves the draw while others in the zone, or else in another
-        # zone, have some. Covers what own tokens don't show: other routers' reqs, few slots, slow streams.
+        # Exception, a full writer: one that has no room leaves the draw while others in the zone, or else in
+        # another zone, have some. Covers what own tokens don't show: other routers' reqs, few slots, slow
+        # streams.
         room = [engine for engine in usable if self._pressure(engine) < 1]
-        in_zone = [e for e in room if e.zone == zone] or room or [e for e in usable if e.zone == zone] or usable
+        in_zone = [e for e in room if e.zone == zone] or room
+        in_zone = in_zone or [e for e in usable if e.zone == zone] or usable
         if not in_zone:
             return None
         in_cell = [engine for engine in in_zone if engine.cell == cell] or in_zone
@@ -310,7 +315,8 @@
         return other if self._load(kept) > HEAVIER * self._load(other) + HEAVIER_BY else kept
 
     def _usable(self, engines: list[Engine], req: Req) -> list[Engine]:
-        """Engines that may get this req now: the rules allow it, not tried yet, and well as far as can be told."""
+        """Engines that may get this req now: the rules allow it, not tried yet, and well as far as can be
+        told."""
         now = self.host.now()
         doubted = sum(not self._well(engine, now) for engine in engines)
         # When most of a role looks bad at once, that says nothing about single engines: use them all.
@@ -326,7 +332,8 @@
         ]
 
     def _in_group(self, engine: Engine, req: Req, now: int) -> bool:
-        """Rule 2 for keyed reqs: once one may have run, only engines that drop its repeat while they remember it."""
+        """Rule 2 for keyed reqs: once one may have run, only engines that drop its repeat while they remember
+        it."""
         ran, within = req.may_have_run, req.group.keyed_within
         if ran is None or req.effect is not Effect.KEYED:
             return True
@@ -338,8 +345,8 @@
         return engine.tokens / ((engine.memory or 1) * engine.weight)
 
     def _pressure(self, engine: Engine) -> float:
-        """Share of a writer's memory or slots that is held, past 1 where reqs queue: by this router's own tokens,
-        or by the engine's fresh word if that is more."""
+        """Share of a writer's memory or slots that is held, past 1 where reqs queue: by this router's own
+        tokens, or by the engine's fresh word if that is more."""
         own, report = engine.tokens / (engine.memory or 1), engine.report
         if report is None or self.host.now() - engine.report_at > FRESH:
             return own
@@ -350,7 +357,8 @@
         return max(own, held)
 
     def _backlog(self, engine: Engine) -> int:
-        """Prompt tokens that wait to be read there: this router's, or the engine's fresh word if that is more."""
+        """Prompt tokens that wait to be read there: this router's, or the engine's fresh word if that is
+        more."""
         report = engine.report
         if report and report.unread_thousands and self.host.now() - engine.report_at < FRESH:
             return max(engine.unread, int(report.unread_thousands * 1000))
@@ -363,12 +371,14 @@
         return max(req.prompt - known, 1)
 
     def _keeps(self, engine: Engine, req: Req, unread: int, found: int) -> None:
-        """Notes what an engine has read. One that found much less than expected has lost its texts: a flush, a restart
-        that no list has told of, a memory too small. Then nothing is taken for kept until it is read there again."""
+        """Notes what an engine has read. One that found much less than expected has lost its texts: a flush,
+        a restart that no list has told of, a memory too small. Then nothing is taken for kept until it is
+        read there again."""
         kept = engine.kept
         if found < (req.prompt - unread) / 2:
             kept.clear()
-        for key, length in ((req.demand.beginning, req.demand.beginning_len), (req.demand.session, req.prompt)):
+        demand = req.demand
+        for key, length in ((demand.beginning, demand.beginning_len), (demand.session, req.prompt)):
             kept.pop(key, None)
             if key:
                 kept[key] = length
@@ -379,7 +389,8 @@
         report = engine.report
         if report and report.queued and self.host.now() - engine.report_at < FRESH:
             return True
-        return self._pressure(engine) > BUSY or self._backlog(engine) + self._unread(engine, req) > LOCAL_UNREAD
+        unread = self._backlog(engine) + self._unread(engine, req)
+        return self._pressure(engine) > BUSY or unread > LOCAL_UNREAD
 
     # Health, as far as this router's own forwards show it.
 
@@ -388,15 +399,22 @@
         return not engine.strikes and not self._silent(engine, now)
 
     def _silent(self, engine: Engine, now: int) -> bool:
-        """Nothing heard from it for much longer than its oldest unanswered forward ought to take. Guards against an
-        engine that takes work and does not answer: gone, cut off, hung. One that is only busy answers others."""
-        oldest = next(iter(engine.out.values()), None)
+        """Nothing heard from it for much longer than its oldest unanswered forward ought to take. Guards
+        against an engine that takes work and does not answer: gone, cut off, hung. One that is only busy
+        answers others."""
+        oldest = self._awaited(engine)
         return oldest is not None and now - max(oldest.sent_at, engine.heard_at) > self._patience(oldest)
 
+    def _awaited(self, engine: Engine) -> Forward | None:
+        """Its oldest unanswered forward that is not written off: one that is lost is held against it only
+        once."""
+        return next((forward for forward in engine.out.values() if not forward.written_off), None)
+
     def _look_round(self) -> None:
-        """What a silent engine holds is called off and tried elsewhere, in time for an answer; what must not run twice
-        stays there and hopes. A busy engine is never called off from: where cancels stop no work, that is waste. Nor
-        is one while most of its role are silent: what is called off would only be thrown from one to the next."""
+        """What a silent engine holds is called off and tried elsewhere, in time for an answer; what must not
+        run twice stays there and hopes. A busy engine is not called off from: where cancels stop no work,
+        that is waste. Nor is one while most of its role are silent: it would only be thrown from one to the
+        next."""
         now = self.host.now()
         silent = [engine for engine in self.readers + self.writers if self._silent(engine, now)]
         for engine in silent:
@@ -408,12 +426,13 @@
             for forward in list(engine.out.values()):
                 self._call_off(forward)
         for engine in self.engines.values():
-            # A forward that later ones have overtaken, and that takes much longer than its kind does, is lost, not
-            # waiting: engines take work in order. Covers lost messages, hung requests, a slot that stands still.
+            # A forward that later ones of its kind have overtaken, and that takes much longer than its kind
+            # does, is lost, not waiting: engines take work in order. Covers lost messages and hung slots. May
+            # hurt a long prompt that shorter ones pass.
             for forward in list(engine.out.values()):
-                if forward.sent_at >= engine.overtaken or not self.may_cancel:
-                    break
-                if now - forward.sent_at > OVERTAKEN * self._patience(forward):
+                overtaken = forward.sent_at < engine.overtaken.get(self._work(forward), 0)
+                late = now - forward.sent_at > OVERTAKEN * self._patience(forward)
+                if self.may_cancel and overtaken and late:
                     self._call_off(forward)
             if self.probes and engine.ready and now - engine.probed_at >= PROBE_EVERY:
                 engine.probed_at = now
@@ -421,15 +440,17 @@
         self.host.wake(LOOK_EVERY, LOOK_ROUND)
 
     def _call_off(self, forward: Forward) -> None:
-        if forward.called_off or not (forward.reading or forward.may_repeat):
-            return
-        forward.called_off = True
-        self.host.cancel(forward.req, forward.number)
+        if not forward.written_off and (forward.reading or forward.may_repeat):
+            self.host.cancel(forward.req, forward.number)
+        forward.written_off = True
 
     def _trial(self, engine: Engine, req: Req, now: int) -> bool:
         """A suspect gets one forward at a time, now and then, and never one that must not run twice."""
         return bool(
-            engine.strikes and now >= engine.trial_at and not engine.out and req.effect is not Effect.NON_REPLAYABLE
+            engine.strikes
+            and now >= engine.trial_at
+            and not self._awaited(engine)
+            and req.effect is not Effect.NON_REPLAYABLE
         )
 
     def _patience(self, forward: Forward) -> int:
@@ -449,7 +470,8 @@
         """The engine answered: a prompt is read or a stream has begun."""
         engine, now, pace = forward.engine, self.host.now(), self.pace[self._work(forward)]
         engine.heard_at = now
-        engine.overtaken = max(engine.overtaken, forward.sent_at)
+        work = self._work(forward)
+        engine.overtaken[work] = max(engine.overtaken.get(work, 0), forward.sent_at)
         per_1000 = took * 1000 // (forward.backlog + OVERHEAD)
         pace.add(per_1000)
         forward.begun, forward.first_took = True, took
@@ -462,10 +484,10 @@
     # Cold engines.
 
     def _cold_room(self, engine: Engine, now: int) -> bool:
-        """Rule 4 without word from the other routers: each sends a cold engine at most a fixed part of what a warm
-        one finishes for it, so all together send at most that part of what a warm one can do. What is sent would
-        not do as a measure: it soars while engines fail. Below that, the engine's own reports decide: one that
-        says reqs wait there gets nothing more."""
+        """Rule 4 without word from the other routers: each sends a cold engine at most a fixed part of what a
+        warm one finishes for it, so all together send at most that part of what a warm one can do. What is
+        sent would not do as a measure: it soars while engines fail. Below that, the engine's own reports
+        decide: one that says reqs wait there gets nothing more."""
         if now >= engine.cold_until:
             return True
         while engine.cold_sends and engine.cold_sends[0] <= now - self.window:
@@ -525,7 +547,8 @@
         self._let_go(req)
 
     def _let_go(self, req: Req) -> None:
-        """Rule 5: no answer frees what is held, so it is freed with each; what is out is called off if allowed."""
+        """Rule 5: no answer frees what is held, so it is freed with each; what is out is called off if
+        allowed."""
         if req.out and not req.began and self.may_cancel:
             self.host.cancel(req.demand.id, req.out.number)
         self.host.free_state(req.demand.id)
--- a/lifthead/state.py
+++ b/lifthead/state.py
@@ -48,7 +48,7 @@
     backlog: int  # unread tokens that were known at the engine, its own included
     reading: bool  # at a reader
     may_repeat: bool  # the req is not one that must never run twice
-    called_off: bool = False
+    written_off: bool = False
     begun: bool = False
     first_took: int = 0  # from the sending to the end of the read or the first token
 
@@ -73,7 +73,7 @@
     report_at: int = 0
     heard_at: int = 0
     probed_at: int = 0
-    overtaken: int = 0  # when the latest of the forwards that were answered had been sent
+    overtaken: dict[str, int] = field(default_factory=dict)  # latest sending that was answered, by work
     cold_until: int = 0
     cold_sends: deque[int] = field(default_factory=deque)
     kept: dict[str, int] = field(default_factory=dict)  # tokens of a session or beginning, latest last
