--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -45,7 +45,7 @@
 FRESH = 1_500_000  # age to which a load report is believed
 
 # A cold engine gets this part of what the rule would let all routers together send it.
-COLD_PART = 0.5
+COLD_PART = 0.8
 
 # Labels of wake-ups: a req's own is its id, shifted.
 TURN_OF_WINDOW = 1
