--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -457,7 +457,8 @@
         pace = self.pace[self._work(forward)]
         if pace.total < ENOUGH:
             return NEVER
-        return int(PATIENCE * pace.quantile(0.9) * (forward.backlog + OVERHEAD) / 1000)
+        # Never less than the response target: where answers usually come at once, a short wait is no silence.
+        return max(int(PATIENCE * pace.quantile(0.9) * (forward.backlog + OVERHEAD) / 1000), forward.target)
 
     def _work(self, forward: Forward) -> str:
         return "read" if forward.reading else "read there" if forward.unread else "fetch"
@@ -517,8 +518,9 @@
         backlog = req.prompt if work == "fetch" else self._backlog(engine) + unread
         may_repeat = req.effect is not Effect.NON_REPLAYABLE
         forward = Forward(
-            req.demand.id, req.forwards, engine, now, tokens, unread, backlog, work == "read", may_repeat
-        )
+            req.demand.id, req.forwards, engine, now, tokens, unread, backlog, work == "read", may_repeat,
+            req.target_at - req.taken_at,
+        )  # fmt: skip
         engine.tokens += tokens
         if tokens:
             self.mean_tokens += (tokens - self.mean_tokens) / 32
--- a/lifthead/state.py
+++ b/lifthead/state.py
@@ -48,7 +48,8 @@
     backlog: int  # unread tokens that were known at the engine, its own included
     reading: bool  # at a reader
     may_repeat: bool  # the req is not one that must never run twice
-    written_off: bool = False
+    target: int  # the req's response target
+    written_off: bool = False  # lost, or at an engine that was found silent
     begun: bool = False
     first_took: int = 0  # from the sending to the end of the read or the first token
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -309,6 +309,22 @@
     assert not bench.router.engines[engine].strikes
 
 
+@pytest.mark.parametrize(("waited", "suspect"), [(1_500_000, False), (2_500_000, True)])
+def test_no_engine_is_silent_before_the_response_target(waited, suspect):
+    bench = warmed(*CELL)  # answers usually come within 50 ms; the target is 2 s
+    bench.req(6000)
+    bench.pass_time(waited)
+    assert bool(bench.calls("cancel")) == suspect
+
+
+def test_nothing_is_called_off_while_most_of_a_role_are_silent():
+    bench = warmed(*CELL)
+    for number in range(20):
+        bench.req(6000, beginning=str(number))
+    bench.pass_time(4_000_000)
+    assert {bench.sent[call[1]][0] for call in bench.calls("cancel")} != {"R1", "R2"}
+
+
 def test_when_all_of_a_role_look_bad_all_are_used():
     bench = warmed(*CELL)
     for engine in bench.router.engines.values():
