--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -322,7 +322,7 @@
     for number in range(20):
         bench.req(6000, beginning=str(number))
     bench.pass_time(4_000_000)
-    assert {bench.sent[call[1]][0] for call in bench.calls("cancel")} != {"R1", "R2"}
+    assert not bench.calls("cancel")
 
 
 def test_when_all_of_a_role_look_bad_all_are_used():
