--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -132,7 +132,9 @@
         now = self.host.now()
         group = self.groups[demand.group]
         target = group.target + group.target_per_1000 * demand.prompt // 1000
-        req = Req(demand, group, group.effect, demand.prompt, now, now + demand.budget, now + target)
+        # A client that gives up before the response target sets the pace: what it won't wait for is not begun.
+        wanted_in = min(target, demand.budget)
+        req = Req(demand, group, group.effect, demand.prompt, now + demand.budget, target, wanted_in)
         self.reqs[demand.id] = req
         # The final answer is owed whatever the forwards do, so its time is set before anything else.
         self.host.wake(max(demand.budget - self.tick, 1), demand.id << 2)
@@ -153,7 +155,7 @@
                     return self._forward(req, writer, "read there")
             reader = self._reader(req, home)
             wait = self._wait(reader, req, "read") if reader else NEVER
-            if wait > DROWNED * (req.target_at - now):
+            if wait > DROWNED * req.wanted_in:
                 # Exception, drowned readers: a prompt of any length is read where it is written if that is
                 # sooner, at a mixed server, or at a writer that keeps so much of it that what is left is a
                 # short read. Covers readers gone, slow or flushed, and hot beginnings.
@@ -295,7 +297,7 @@
         if writers:
             beyond = sum(map(self._pressure, writers)) / len(writers) - 1
             wait += max(beyond, 0) * self.streams.quantile(0.5)
-        return wait > HOPELESS * (req.target_at - req.taken_at)
+        return wait > HOPELESS * req.wanted_in
 
     def _draw(self, req: Req, zone: str, cell: int | None, reads: bool) -> Engine | None:
         """One writer of the cell and one of the zone; the cell's is kept unless it clearly carries more."""
@@ -519,7 +521,7 @@
         may_repeat = req.effect is not Effect.NON_REPLAYABLE
         forward = Forward(
             req.demand.id, req.forwards, engine, now, tokens, unread, backlog, work == "read", may_repeat,
-            req.target_at - req.taken_at,
+            req.target,
         )  # fmt: skip
         engine.tokens += tokens
         if tokens:
--- a/lifthead/state.py
+++ b/lifthead/state.py
@@ -90,9 +90,9 @@
     group: EndpointGroup
     effect: Effect
     prompt: int
-    taken_at: int
     due_at: int  # when the client gives up
-    target_at: int  # when the first token is wanted
+    target: int  # response target of a prompt this long
+    wanted_in: int  # the target, or less where the client gives up sooner
     forwards: int = 0
     out: Forward | None = None
     held_at: Engine | None = None  # the reader where its state waits
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -112,6 +112,15 @@
     assert bench.answers(late) == ["push_back"] and not bench.sent.get(late)
 
 
+@pytest.mark.parametrize(("budget", "taken"), [(400_000, False), (8_000_000, True)])
+def test_a_client_that_will_not_wait_for_the_read_is_told_at_once(budget, taken):
+    bench = Bench(entry("R1"), entry("W1"))
+    for n in range(control.ENOUGH):
+        bench.end(bench.req(6000, session=f"x{n}", beginning=""), Ending.READ, took=500_000)
+    req_id = bench.req(6000, session="y", beginning="", budget=budget)
+    assert bool(bench.sent.get(req_id)) == taken
+
+
 # Rule 1: one final answer in time.
 
 
