--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -113,7 +113,7 @@
                     entry.up_since, False,
                 )  # fmt: skip
             elif entry.up_since != engine.up_since:  # back under the same name: what was held against it goes
-                engine.strikes, engine.report = 0, None
+                engine.strikes, engine.down, engine.report = 0, False, None
             engine.zone, engine.cell, engine.weight = entry.zone, entry.cell, entry.weight or 1.0
             engine.ready, engine.up_since = entry.readiness == "ready", entry.up_since
             if entry.up_since:
@@ -200,6 +200,7 @@
             self.streams.add(took - forward.first_took)
         self._unload(req, forward)
         if ending in (Ending.TIMED_OUT, Ending.UNREACHABLE, Ending.BROKEN):
+            forward.engine.down = ending is not Ending.TIMED_OUT
             self._strike(forward.engine, now)
         if final or req.answered or req.began:
             req.answered = True
@@ -320,9 +321,9 @@
         """Engines that may get this req now: the rules allow it, not tried yet, and well as far as can be
         told."""
         now = self.host.now()
-        doubted = sum(not self._well(engine, now) for engine in engines)
+        doubted = sum(not engine.down and not self._well(engine, now) for engine in engines)
         # When most of a role looks bad at once, that says nothing about single engines: use them all.
-        trust_all = doubted * 2 > len(engines)
+        trust_all = doubted * 2 > sum(not engine.down for engine in engines)
         return [
             engine
             for engine in engines
@@ -330,7 +331,7 @@
             and (not engine.memory or req.prompt <= engine.memory)
             and self._in_group(engine, req, now)
             and self._cold_room(engine, now)
-            and (trust_all or self._well(engine, now) or self._trial(engine, req, now))
+            and ((trust_all and not engine.down) or self._well(engine, now) or self._trial(engine, req, now))
         ]
 
     def _in_group(self, engine: Engine, req: Req, now: int) -> bool:
@@ -481,7 +482,7 @@
         engine.unread -= forward.unread
         engine.out.pop((req.demand.id, forward.number), None)
         if engine.strikes:  # back: what fell silent is likely cold, whether or not the list has said so
-            engine.strikes = 0
+            engine.strikes, engine.down = 0, False
             engine.cold_until = max(engine.cold_until, now + self.warm_within)
 
     # Cold engines.
