--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -132,7 +132,7 @@
         now = self.host.now()
         group = self.groups[demand.group]
         target = group.target + group.target_per_1000 * demand.prompt // 1000
-        # A client that gives up before the response target sets the pace: what it won't wait for is not begun.
+        # A client that gives up before the response target sets the pace: what it won't wait for isn't begun.
         wanted_in = min(target, demand.budget)
         req = Req(demand, group, group.effect, demand.prompt, now + demand.budget, target, wanted_in)
         self.reqs[demand.id] = req
@@ -185,20 +185,22 @@
         engine = self.engines.get(name)
         if engine and ending not in (Ending.TIMED_OUT, Ending.CANCELLED, Ending.NOT_SENT, Ending.UNREACHABLE):
             engine.heard_at = now
-        if engine and report:
-            engine.report, engine.report_at = report, now
         req = self.reqs.get(req_id)
-        if req is None or req.out is None or req.out.number != number:
+        expected = req is not None and req.out is not None and req.out.number == number
+        if expected:
+            forward, req.out = req.out, None
+            if not forward.begun and ending in (Ending.READ, Ending.DONE):
+                self._first_answer(req, forward, took)
+            self._unload(req, forward)
+        if engine and report:
+            self._heed(engine, report)
+        if not expected:
             return
-        forward, req.out = req.out, None
-        if not forward.begun and ending in (Ending.READ, Ending.DONE):
-            self._first_answer(req, forward, took)
         if ending in (Ending.READ, Ending.DONE):
             self.bore[forward.engine.role] += now >= forward.engine.cold_until
             self._keeps(forward.engine, req, forward.unread or req.prompt, note)
         if ending is Ending.DONE:
             self.streams.add(took - forward.first_took)
-        self._unload(req, forward)
         if ending in (Ending.TIMED_OUT, Ending.UNREACHABLE, Ending.BROKEN):
             forward.engine.down = ending is not Ending.TIMED_OUT
             self._strike(forward.engine, now)
@@ -242,7 +244,7 @@
     def on_probed(self, name: str, ok: bool, took: int, report: LoadReport | None) -> None:
         engine = self.engines[name]
         if report:
-            engine.report, engine.report_at = report, self.host.now()
+            self._heed(engine, report)
 
     # Choosing an engine.
 
@@ -348,25 +350,30 @@
         return engine.tokens / ((engine.memory or 1) * engine.weight)
 
     def _pressure(self, engine: Engine) -> float:
-        """Share of a writer's memory or slots that is held, past 1 where reqs queue: by this router's own
-        tokens, or by the engine's fresh word if that is more."""
-        own, report = engine.tokens / (engine.memory or 1), engine.report
+        """Share of a writer's memory or slots that is held, past 1 where reqs queue. The engine's fresh word
+        counts in full, with what this router has sent since; else this router's own tokens do."""
+        memory, report = engine.memory or 1, engine.report
+        own = engine.tokens / memory
         if report is None or self.host.now() - engine.report_at > FRESH:
             return own
         held = max(report.memory_used or 0, report.slots_used or 0)
         if report.queued:
-            running = (report.held or 0) - report.queued or (engine.memory or 1) / max(self.mean_tokens, 1)
+            running = (report.held or 0) - report.queued or memory / max(self.mean_tokens, 1)
             held = max(held, 1) + report.queued / max(running, 1)
-        return max(own, held)
+        return max(own, held + own - engine.tokens_then / memory)
 
     def _backlog(self, engine: Engine) -> int:
-        """Prompt tokens that wait to be read there: this router's, or the engine's fresh word if that is
-        more."""
+        """Prompt tokens that wait to be read there, by this router's own or by the engine's fresh word."""
         report = engine.report
         if report and report.unread_thousands and self.host.now() - engine.report_at < FRESH:
-            return max(engine.unread, int(report.unread_thousands * 1000))
+            told = int(report.unread_thousands * 1000)
+            return max(engine.unread, told + engine.unread - engine.unread_then)
         return engine.unread
 
+    def _heed(self, engine: Engine, report: LoadReport) -> None:
+        engine.report, engine.report_at = report, self.host.now()
+        engine.tokens_then, engine.unread_then = engine.tokens, engine.unread
+
     def _unread(self, engine: Engine, req: Req) -> int:
         """Prompt tokens that the engine is expected to have to read: those past the text that it keeps."""
         kept = engine.kept
--- a/lifthead/state.py
+++ b/lifthead/state.py
@@ -72,6 +72,8 @@
     out: dict[tuple[int, int], Forward] = field(default_factory=dict)  # no first answer yet
     report: LoadReport | None = None
     report_at: int = 0
+    tokens_then: int = 0  # this router's own when the report came
+    unread_then: int = 0
     heard_at: int = 0
     probed_at: int = 0
     overtaken: dict[str, int] = field(default_factory=dict)  # latest sending that was answered, by work
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -326,6 +326,25 @@
     assert bool(bench.calls("cancel")) == suspect
 
 
+@pytest.mark.parametrize("ending", [Ending.UNREACHABLE, Ending.BROKEN])
+def test_engines_without_connection_are_left_even_when_they_are_most_of_a_role(ending):
+    bench = Bench(entry("R1"), entry("R2"), entry("R3"), entry("W1"))
+    for name in ("R1", "R2"):
+        reqs = (bench.req(6000, beginning=str(n)) for n in range(99))
+        bench.end(next(req_id for req_id in reqs if bench.last(req_id) == name), ending)
+    assert {bench.last(bench.req(6000, beginning=str(n))) for n in range(12)} == {"R3"}
+
+
+def test_what_was_sent_since_a_report_counts_on_top_of_it():
+    bench = Bench(entry("R1"), entry("W1"))
+    for ending, said in ((Ending.READ, 9.0), (None, None)):
+        req_id = bench.req(6000, session=str(said), beginning="")
+        if ending:
+            bench.end(req_id, ending, report=report(unread_thousands=said))
+            bench.sent[req_id] = ["R1"]
+    assert bench.router._backlog(bench.router.engines["R1"]) == 15_000
+
+
 def test_nothing_is_called_off_while_most_of_a_role_are_silent():
     bench = warmed(*CELL)
     for number in range(20):
