--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -113,7 +113,7 @@
                     entry.up_since, False,
                 )  # fmt: skip
             elif entry.up_since != engine.up_since:  # back under the same name: what was held against it goes
-                engine.strikes, engine.down, engine.report = 0, False, None
+                engine.strikes, engine.failures, engine.report = 0, 0, None
             engine.zone, engine.cell, engine.weight = entry.zone, entry.cell, entry.weight or 1.0
             engine.ready, engine.up_since = entry.readiness == "ready", entry.up_since
             if entry.up_since:
@@ -201,9 +201,12 @@
             self._keeps(forward.engine, req, forward.unread or req.prompt, note)
         if ending is Ending.DONE:
             self.streams.add(took - forward.first_took)
-        if ending in (Ending.TIMED_OUT, Ending.UNREACHABLE, Ending.BROKEN):
-            forward.engine.down = ending is not Ending.TIMED_OUT
-            self._strike(forward.engine, now)
+        if ending in (Ending.UNREACHABLE, Ending.BROKEN):
+            # One failed connection says little, a second with no answer in between that the engine is down.
+            # A time-out says nothing of its engine: it is the client's patience that ended.
+            forward.engine.failures += 1
+            if forward.engine.failures >= 2:
+                self._strike(forward.engine, now)
         if final or req.answered or req.began:
             req.answered = True
             self.host.free_state(req_id)
@@ -323,9 +326,9 @@
         """Engines that may get this req now: the rules allow it, not tried yet, and well as far as can be
         told."""
         now = self.host.now()
-        doubted = sum(not engine.down and not self._well(engine, now) for engine in engines)
+        doubted = sum(engine.failures < 2 and not self._well(engine, now) for engine in engines)
         # When most of a role looks bad at once, that says nothing about single engines: use them all.
-        trust_all = doubted * 2 > sum(not engine.down for engine in engines)
+        trust_all = doubted * 2 > sum(engine.failures < 2 for engine in engines)
         return [
             engine
             for engine in engines
@@ -333,7 +336,7 @@
             and (not engine.memory or req.prompt <= engine.memory)
             and self._in_group(engine, req, now)
             and self._cold_room(engine, now)
-            and ((trust_all and not engine.down) or self._well(engine, now) or self._trial(engine, req, now))
+            and (self._well(engine, now) or self._trial(engine, req, now) or (trust_all and engine.failures < 2))
         ]
 
     def _in_group(self, engine: Engine, req: Req, now: int) -> bool:
@@ -480,7 +483,7 @@
     def _first_answer(self, req: Req, forward: Forward, took: int) -> None:
         """The engine answered: a prompt is read or a stream has begun."""
         engine, now, pace = forward.engine, self.host.now(), self.pace[self._work(forward)]
-        engine.heard_at = now
+        engine.heard_at, engine.failures = now, 0
         work = self._work(forward)
         engine.overtaken[work] = max(engine.overtaken.get(work, 0), forward.sent_at)
         per_1000 = took * 1000 // (forward.backlog + OVERHEAD)
@@ -489,7 +492,7 @@
         engine.unread -= forward.unread
         engine.out.pop((req.demand.id, forward.number), None)
         if engine.strikes:  # back: what fell silent is likely cold, whether or not the list has said so
-            engine.strikes, engine.down = 0, False
+            engine.strikes = 0
             engine.cold_until = max(engine.cold_until, now + self.warm_within)
 
     # Cold engines.
--- a/lifthead/state.py
+++ b/lifthead/state.py
@@ -81,7 +81,7 @@
     cold_sends: deque[int] = field(default_factory=deque)
     kept: dict[str, int] = field(default_factory=dict)  # tokens of a session or beginning, latest last
     strikes: int = 0
-    down: bool = False  # suspect, and connections to it failed
+    failures: int = 0  # connections to it that failed since its last first answer
     trial_at: int = 0  # while suspect: when the next trial may go
 
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -331,10 +331,20 @@
     bench = Bench(entry("R1"), entry("R2"), entry("R3"), entry("W1"))
     for name in ("R1", "R2"):
         reqs = (bench.req(6000, beginning=str(n)) for n in range(99))
-        bench.end(next(req_id for req_id in reqs if bench.last(req_id) == name), ending)
+        for _ in range(2):
+            bench.end(next(req_id for req_id in reqs if bench.last(req_id) == name), ending)
     assert {bench.last(bench.req(6000, beginning=str(n))) for n in range(12)} == {"R3"}
 
 
+def test_one_broken_connection_between_answers_makes_no_suspect():
+    bench = warmed(*CELL)
+    for number in range(20):
+        bench.end(bench.req(6000, beginning=str(number)), Ending.BROKEN)
+        bench.end(number + 41, Ending.READ)
+        bench.serve(6000, beginning=str(number))
+    assert not any(engine.strikes for engine in bench.router.engines.values())
+
+
 def test_what_was_sent_since_a_report_counts_on_top_of_it():
     bench = Bench(entry("R1"), entry("W1"))
     for ending, said in ((Ending.READ, 9.0), (None, None)):
