--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -336,7 +336,9 @@
             and (not engine.memory or req.prompt <= engine.memory)
             and self._in_group(engine, req, now)
             and self._cold_room(engine, now)
-            and (self._well(engine, now) or self._trial(engine, req, now) or (trust_all and engine.failures < 2))
+            and (
+                self._well(engine, now) or self._trial(engine, req, now) or (trust_all and engine.failures < 2)
+            )
         ]
 
     def _in_group(self, engine: Engine, req: Req, now: int) -> bool:
