--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -23,6 +23,7 @@
 # Exceptions to it.
 LOCAL_UNREAD = 1024  # unread tokens that a writer may have before short prompts go to a reader
 HOT_TIMES = 2.0  # a reader is passed over when its backlog is this many times the mean of its peers ...
+ANEW = 3  # what a token to be read counts against one that waits already
 HOT_SLACK = 8192  # ... and this many tokens besides
 
 BUSY = 0.6  # a writer that holds this share of its memory reads nothing itself
@@ -113,7 +114,7 @@
                     entry.up_since, False,
                 )  # fmt: skip
             elif entry.up_since != engine.up_since:  # back under the same name: what was held against it goes
-                engine.strikes, engine.failures, engine.report = 0, 0, None
+                engine.strikes, engine.failures, engine.down, engine.report = 0, 0, False, None
             engine.zone, engine.cell, engine.weight = entry.zone, entry.cell, entry.weight or 1.0
             engine.ready, engine.up_since = entry.readiness == "ready", entry.up_since
             if entry.up_since:
@@ -205,7 +206,8 @@
             # One failed connection says little, a second with no answer in between that the engine is down.
             # A time-out says nothing of its engine: it is the client's patience that ended.
             forward.engine.failures += 1
-            if forward.engine.failures >= 2:
+            forward.engine.down = forward.engine.failures > 1
+            if forward.engine.down:
                 self._strike(forward.engine, now)
         if final or req.answered or req.began:
             req.answered = True
@@ -273,8 +275,11 @@
         order = sorted(usable, key=lambda engine: (engine.zone != home, rank(key, engine.name)))
         # Exception, a hot beginning: a reader is passed over for the next in the key's order when what waits
         # there and what it would have to read of this prompt is clearly more than elsewhere, kept text
-        # considered. So a beginning stays on few readers. Also covers a zone that gets too much to read.
-        costs = {engine.name: self._backlog(engine) + self._unread(engine, req) for engine in usable}
+        # considered. So a beginning stays on few readers. Also covers a zone that gets too much to read. The
+        # unread part weighs more than the wait: reading anew what is kept elsewhere makes all behind it wait,
+        # and readers that pass prompts on for their queues' sake lose each other's texts until nothing is
+        # kept anywhere.
+        costs = {e.name: self._backlog(e) + ANEW * self._unread(e, req) for e in usable}
         bound = HOT_TIMES * min(costs.values()) + HOT_SLACK
         return next(engine for engine in order if costs[engine.name] <= bound)
 
@@ -284,7 +289,11 @@
             for engine in self._usable(self.writers, req)
             if engine.zone == home
             and self._pressure(engine) <= FULL
-            and (engine.role == "both" or (self.writers_read and not self._crowded(engine, req)))
+            and (
+                self._unread(engine, req) < THRESHOLD
+                if engine.role == "both"
+                else self.writers_read and not self._crowded(engine, req)
+            )
         ]
         return min(able, key=lambda e: (self._wait(e, req, "read there"), e.name), default=None)
 
@@ -326,9 +335,9 @@
         """Engines that may get this req now: the rules allow it, not tried yet, and well as far as can be
         told."""
         now = self.host.now()
-        doubted = sum(engine.failures < 2 and not self._well(engine, now) for engine in engines)
+        doubted = sum(not engine.down and not self._well(engine, now) for engine in engines)
         # When most of a role looks bad at once, that says nothing about single engines: use them all.
-        trust_all = doubted * 2 > sum(engine.failures < 2 for engine in engines)
+        trust_all = doubted * 2 > sum(not engine.down for engine in engines)
         return [
             engine
             for engine in engines
@@ -336,9 +345,7 @@
             and (not engine.memory or req.prompt <= engine.memory)
             and self._in_group(engine, req, now)
             and self._cold_room(engine, now)
-            and (
-                self._well(engine, now) or self._trial(engine, req, now) or (trust_all and engine.failures < 2)
-            )
+            and (self._well(engine, now) or self._trial(engine, req, now) or trust_all and not engine.down)
         ]
 
     def _in_group(self, engine: Engine, req: Req, now: int) -> bool:
@@ -485,7 +492,7 @@
     def _first_answer(self, req: Req, forward: Forward, took: int) -> None:
         """The engine answered: a prompt is read or a stream has begun."""
         engine, now, pace = forward.engine, self.host.now(), self.pace[self._work(forward)]
-        engine.heard_at, engine.failures = now, 0
+        engine.heard_at, engine.failures, engine.down = now, 0, False
         work = self._work(forward)
         engine.overtaken[work] = max(engine.overtaken.get(work, 0), forward.sent_at)
         per_1000 = took * 1000 // (forward.backlog + OVERHEAD)
