--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -23,7 +23,7 @@
 # Exceptions to it.
 LOCAL_UNREAD = 1024  # unread tokens that a writer may have before short prompts go to a reader
 HOT_TIMES = 2.0  # a reader is passed over when its backlog is this many times the mean of its peers ...
-ANEW = 3  # what a token to be read counts against one that waits already
+ANEW = 4  # what a token to be read counts against one that waits already
 HOT_SLACK = 8192  # ... and this many tokens besides
 
 BUSY = 0.6  # a writer that holds this share of its memory reads nothing itself
