--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -39,6 +39,7 @@
 # Health.
 OVERHEAD = 1000  # tokens' worth of time that any first answer takes, however short its prompt
 ENOUGH = 12  # measurements before a histogram is believed
+ENOUGH_STREAMS = 4  # streams at an engine before their standing still says something
 PATIENCE = 5.0  # a forward is waited for this many times what nine in ten of its kind take ...
 OVERTAKEN = 0.4  # ... and this part of that once the engine has answered one sent later
 TRIAL_AFTER = 1_000_000  # a suspect's first trial; twice as long after each further strike
@@ -202,6 +203,7 @@
             self._keeps(forward.engine, req, forward.unread or req.prompt, note)
         if ending is Ending.DONE:
             self.streams.add(took - forward.first_took)
+            forward.engine.ended_at = now
         if ending in (Ending.UNREACHABLE, Ending.BROKEN):
             # One failed connection says little, a second with no answer in between that the engine is down.
             # A time-out says nothing of its engine: it is the client's patience that ended.
@@ -417,8 +419,17 @@
     # Health, as far as this router's own forwards show it.
 
     def _well(self, engine: Engine, now: int) -> bool:
-        """Neither suspect nor silent."""
-        return not engine.strikes and not self._silent(engine, now)
+        """Neither suspect, nor silent, nor stalled."""
+        return not (engine.strikes or self._silent(engine, now) or self._stalled(engine, now))
+
+    def _stalled(self, engine: Engine, now: int) -> bool:
+        """Several streams run there and none has ended for longer than nine in ten streams last. Guards
+        against an engine that begins answers and does not bring them to an end: hung, thrashing, many times
+        slower. It is left alone until a stream ends or all have broken."""
+        if len(engine.begun) < ENOUGH_STREAMS or self.streams.total < ENOUGH:
+            return False
+        since = max(next(iter(engine.begun.values())), engine.ended_at)
+        return now - since > self.streams.quantile(0.9)
 
     def _silent(self, engine: Engine, now: int) -> bool:
         """Nothing heard from it for much longer than its oldest unanswered forward ought to take. Guards
@@ -500,6 +511,8 @@
         forward.begun, forward.first_took = True, took
         engine.unread -= forward.unread
         engine.out.pop((req.demand.id, forward.number), None)
+        if not forward.reading:
+            engine.begun[req.demand.id, forward.number] = now
         if engine.strikes:  # back: what fell silent is likely cold, whether or not the list has said so
             engine.strikes = 0
             engine.cold_until = max(engine.cold_until, now + self.warm_within)
@@ -556,6 +569,7 @@
 
     def _unload(self, req: Req, forward: Forward) -> None:
         forward.engine.tokens -= forward.tokens
+        forward.engine.begun.pop((req.demand.id, forward.number), None)
         if forward.engine.out.pop((req.demand.id, forward.number), None):
             forward.engine.unread -= forward.unread
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -365,6 +365,20 @@
     assert not bench.calls("cancel")
 
 
+@pytest.mark.parametrize("ends", [True, False])
+def test_a_writer_whose_streams_stand_still_gets_no_more(ends):
+    bench = warmed(entry("R1"), entry("W1"), entry("W2"))
+    stuck = [bench.req(100, session=str(n)) for n in range(control.ENOUGH_STREAMS * 4)]
+    for req_id in stuck:
+        bench.begin(req_id)
+    bench.clock += 5_000_000
+    for req_id in stuck:
+        if ends or bench.last(req_id) == "W2":
+            bench.end(req_id, Ending.DONE)
+    later = {bench.last(bench.serve(100)) for _ in range(20)}
+    assert later == ({"W1", "W2"} if ends else {"W2"})
+
+
 def test_when_all_of_a_role_look_bad_all_are_used():
     bench = warmed(*CELL)
     for engine in bench.router.engines.values():
