Under load, what is beyond a tenant's share is pushed back first

Guards against any tenant's burst or retry storm; may hurt a tenant whose clients all come in at one router.

--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -30,6 +30,8 @@
 FULL = 0.85  # a zone whose writers hold this share of their memory is full; reqs are served in another ...
 EMPTIER = 0.15  # ... if one's writers hold this much less
 DROWNED = 0.5  # a read expected to take this part of the response target is made elsewhere if that is sooner
+OVER_SHARE = 0.3  # part of HOPELESS that holds for a tenant beyond its share
+SHARE_SLACK = 1.5  # a tenant may send this router so many times an even part of its share
 HOPELESS = 0.7  # a req is pushed back when its wait is expected to be this part of its response target
 
 NEVER = 1 << 62
@@ -81,6 +83,9 @@
         self.window = max(deployment.overload_for, 1)
         self.warm_within = deployment.warm_within
         self.cold_part = deployment.cold_share * deployment.tip_multiple * COLD_PART
+        even = SHARE_SLACK / 1_000_000 / deployment.routers  # shares are by the second and for all routers
+        self.share = {name: tenant.quota_per_s * even for name, tenant in deployment.tenants.items()}
+        self.within = {name: (0.0, 0) for name in self.share}  # reqs a tenant may still send, and as of when
         self.must_ask = deployment.must_ask
         self.engines: dict[str, Engine] = {}
         self.readers: list[Engine] = []  # ready ones, by name
@@ -137,6 +142,7 @@
         # A client that gives up before the response target sets the pace: what it won't wait for isn't begun.
         wanted_in = min(target, demand.budget)
         req = Req(demand, group, group.effect, demand.prompt, now + demand.budget, target, wanted_in)
+        req.over_share = self._over_share(demand.tenant, now)
         self.reqs[demand.id] = req
         # The final answer is owed whatever the forwards do, so its time is set before anything else.
         self.host.wake(max(demand.budget - self.tick, 1), demand.id << 2)
@@ -314,7 +320,18 @@
         if writers:
             beyond = sum(map(self._pressure, writers)) / len(writers) - 1
             wait += max(beyond, 0) * self.streams.quantile(0.5)
-        return wait > HOPELESS * req.wanted_in
+        # What is beyond a tenant's share is worth little, so it goes first, before others have to wait.
+        return wait > HOPELESS * req.wanted_in * (OVER_SHARE if req.over_share else 1)
+
+    def _over_share(self, tenant: str, now: int) -> bool:
+        """Counts a req of this tenant against its share, with what was left unused in the last few
+        windows."""
+        if tenant not in self.share:
+            return False
+        left, then = self.within[tenant]
+        left = min(left + (now - then) * self.share[tenant], 2 * self.window * self.share[tenant])
+        self.within[tenant] = (max(left - 1, 0.0), now)
+        return left < 1
 
     def _draw(self, req: Req, zone: str, cell: int | None, reads: bool) -> Engine | None:
         """One writer of the cell and one of the zone; the cell's is kept unless it clearly carries more."""
--- a/lifthead/state.py
+++ b/lifthead/state.py
@@ -99,6 +99,7 @@
     due_at: int  # when the client gives up
     target: int  # response target of a prompt this long
     wanted_in: int  # the target, or less where the client gives up sooner
+    over_share: bool = False  # beyond its tenant's share
     forwards: int = 0
     out: Forward | None = None
     held_at: Engine | None = None  # the reader where its state waits
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -123,6 +123,16 @@
     assert bool(bench.sent.get(req_id)) == taken
 
 
+@pytest.mark.parametrize(("tenant", "taken"), [("t", True), ("small", False)])
+def test_what_is_beyond_a_tenants_share_goes_first_under_load(tenant, taken):
+    bench = Bench(entry("R1"), entry("W1"))
+    for n in range(control.ENOUGH):
+        bench.end(bench.req(6000, session=f"x{n}", beginning=""), Ending.READ, took=500_000)
+    for n in range(8):
+        bench.serve(10, session=f"y{n}", tenant=tenant)
+    assert bool(bench.sent.get(bench.req(9000, session="z", beginning="", tenant=tenant))) == taken
+
+
 # Rule 1: one final answer in time.
 
 
