--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -21,9 +21,9 @@
     "mark": replace(GROUP, name="mark", effect=Effect.KEYED, keyed_within="zone"),
 }
 DEPLOYMENT = Deployment(
-    zone="a", routers=2, tick=1000, seed=7, groups=GROUPS, tenants={"t": Tenant("t", 1000.0), "small": Tenant("small", 1.0)},
-   
-    roles={"R": "read", "W": "write", "B": "both"}, memory={"R": 200_000, "W": 100_000, "B": 100_000},
+    zone="a", routers=2, tick=1000, seed=7, groups=GROUPS,
+    tenants={"t": Tenant("t", 1000.0), "small": Tenant("small", 1.0)},
+roles={"R": "read", "W": "write", "B": "both"}, memory={"R": 200_000, "W": 100_000, "B": 100_000},
     writers_read=True, let_go_by=300_000, cold_share=0.25, warm_within=10_000_000, tip_multiple=2.5,
     overload_for=2_000_000, max_forwards=5, may_cancel=True, may_probe=False, may_hold_off=True,
     max_hold_off=500_000, reports_on_probe=False, must_ask=False, ask_within=10_000_000,
