--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -92,7 +92,6 @@
         self.writers: list[Engine] = []  # ready ones, mixed included, by name
         self.reqs: dict[int, Req] = {}
         self.pace = {work: Histogram(1000, 14, 400) for work in ("read", "fetch", "read there")}
-        self.moves: dict[int, Histogram] = {}  # as pace, of fetches out of each cell
         self.streams = Histogram(100_000, 10, 400)  # how long answers stream
         self.bore = {role: 0 for role in ("read", "write", "both")}  # by warm engines, in this window
         self.mean_tokens = 0.0  # of a forward to a writer
@@ -164,10 +163,10 @@
                     return self._forward(req, writer, "read there")
             reader = self._reader(req, home)
             wait = self._wait(reader, req, "read") if reader else NEVER
-            if wait + (self._move(reader, req) if reader else 0) > DROWNED * req.wanted_in:
-                # Exception, drowned readers or links: a prompt of any length is read where it is written if
-                # that is sooner, at a mixed server, or at a writer that keeps so much of it that what is left
-                # is a short read. Covers readers gone, slow or flushed, and hot beginnings.
+            if wait > DROWNED * req.wanted_in:
+                # Exception, drowned readers: a prompt of any length is read where it is written if that is
+                # sooner, at a mixed server, or at a writer that keeps so much of it that what is left is a
+                # short read. Covers readers gone, slow or flushed, and hot beginnings.
                 writer = self._stand_in(req, home)
                 if writer and self._wait(writer, req, "read there") < wait:
                     return self._forward(req, writer, "read there")
@@ -183,9 +182,8 @@
         req = self.reqs.get(req_id)
         if req is None or req.out is None or req.out.number != number:
             return
-        req.began = True
+        req.began, req.held_at = True, None
         self._first_answer(req, req.out, took)
-        req.held_at = None
 
     def on_ended(
         self, req_id: int, number: int, name: str, ending: Ending, took: int, note: int, final: bool,
@@ -293,14 +291,6 @@
         bound = HOT_TIMES * min(costs.values()) + HOT_SLACK
         return next(engine for engine in order if costs[engine.name] <= bound)
 
-    def _move(self, reader: Engine, req: Req) -> float:
-        """How long the fetch of a state out of the reader's cell is expected to take: links get slow while
-        engines are well, and then show at every writer that fetches from there."""
-        pace = self.moves.get(reader.cell)
-        if pace is None or pace.total < ENOUGH:
-            return 0
-        return pace.quantile(0.5) * (req.prompt + OVERHEAD) / 1000
-
     def _stand_in(self, req: Req, home: str) -> Engine | None:
         able = [
             engine
@@ -535,8 +525,6 @@
         engine.overtaken[work] = max(engine.overtaken.get(work, 0), forward.sent_at)
         per_1000 = took * 1000 // (forward.backlog + OVERHEAD)
         pace.add(per_1000)
-        if work == "fetch" and req.held_at:
-            self.moves.setdefault(req.held_at.cell, Histogram(1000, 14, 60)).add(per_1000)
         forward.begun, forward.first_took = True, took
         engine.unread -= forward.unread
         engine.out.pop((req.demand.id, forward.number), None)
