--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -27,9 +27,9 @@
 HOT_SLACK = 8192  # ... and this many tokens besides
 
 BUSY = 0.6  # a writer that holds this share of its memory reads nothing itself
-FULL = 0.75  # a zone whose writers hold this share of their memory is full; reqs are served in another ...
+FULL = 0.8  # a zone whose writers hold this share of their memory is full; reqs are served in another ...
 EMPTIER = 0.15  # ... if one's writers hold this much less
-DROWNED = 0.25  # a read expected to take this part of the response target is made elsewhere if that is sooner
+DROWNED = 0.35  # a read expected to take this part of the response target is made elsewhere if that is sooner
 OVER_SHARE = 0.3  # part of HOPELESS that holds for a tenant beyond its share
 SHARE_SLACK = 1.5  # a tenant may send this router so many times an even part of its share
 HOPELESS = 0.7  # a req is pushed back when its wait is expected to be this part of its response target
