--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -22,10 +22,9 @@
 
 # Exceptions to it.
 LOCAL_UNREAD = 1024  # unread tokens that a writer may have before short prompts go to a reader
-HOT_TIMES = 2.0  # a reader is passed over when its backlog is this many times the mean of its peers ...
-ANEW = 4  # what a token to be read counts against one that waits already
+ANEW = 4  # what a prompt token to be read counts against one that waits already
+HOT_TIMES = 2.0  # a reader is passed over when it costs this many times the least of its peers ...
 HOT_SLACK = 8192  # ... and this many tokens besides
-
 BUSY = 0.6  # a writer that holds this share of its memory reads nothing itself
 FULL = 0.8  # a zone whose writers hold this share of their memory is full; reqs are served in another ...
 EMPTIER = 0.15  # ... if one's writers hold this much less
@@ -33,9 +32,6 @@
 OVER_SHARE = 0.3  # part of HOPELESS that holds for a tenant beyond its share
 SHARE_SLACK = 1.5  # a tenant may send this router so many times an even part of its share
 HOPELESS = 0.7  # a req is pushed back when its wait is expected to be this part of its response target
-
-NEVER = 1 << 62
-
 KEPT_KEYS = 256  # sessions and beginnings remembered for an engine
 
 # Health.
@@ -47,17 +43,18 @@
 TRIAL_AFTER = 1_000_000  # a suspect's first trial; twice as long after each further strike
 TRIAL_LIMIT = 8_000_000
 FRESH = 1_500_000  # age to which a load report is believed
+PROBE_EVERY = 1_000_000  # where reports come on probes alone
+LOOK_EVERY = 100_000  # how often silent engines and lost forwards are looked for
+NEVER = 1 << 62
 
-# A cold engine gets this part of what the rule would let all routers together send it.
-COLD_PART = 0.8
+# Cold engines.
+COLD_PART = 0.8  # of what rule 4 would let all routers together send one
+COLD_MEMORY = 64  # engines times windows after which older ones count half
 
 # Labels of wake-ups: a req's own is its id, shifted.
 TURN_OF_WINDOW = 1
 LOOK_ROUND = 2
 
-PROBE_EVERY = 1_000_000
-LOOK_EVERY = 100_000  # how often forwards at silent engines are looked for
-
 
 def rank(key: str, engine: str) -> bytes:
     """Rendezvous hash: a change among the readers moves only the keys of those that came or went."""
@@ -93,9 +90,9 @@
         self.reqs: dict[int, Req] = {}
         self.pace = {work: Histogram(1000, 14, 400) for work in ("read", "fetch", "read there")}
         self.streams = Histogram(100_000, 10, 400)  # how long answers stream
-        self.bore = {role: 0 for role in ("read", "write", "both")}  # by warm engines, in this window
-        self.mean_tokens = 0.0  # of a forward to a writer
-        self.usual = dict.fromkeys(self.bore, 0.0)  # of them, by one warm engine in a window
+        self.sizes = Histogram(256, 10, 200)  # tokens of a forward to a writer
+        self.finished = dict.fromkeys(("read", "write", "both"), 0.0)  # reads and answers, by warm engines
+        self.warm = dict.fromkeys(self.finished, 0.0)  # in so many windows of one warm engine
         host.wake(self.window, TURN_OF_WINDOW)
         host.wake(LOOK_EVERY, LOOK_ROUND)
         self.ask_again = False
@@ -104,7 +101,7 @@
 
     # What can happen to the list of engines.
 
-    def on_engines(self, entries: list[EngineEntry], whole_list: bool, stale: bool) -> None:
+    def on_engines(self, entries: list[EngineEntry], whole_list: bool) -> None:
         """News of engines. Draining, gone and left-out ones get nothing from here on; the grace is not
         used."""
         if whole_list:
@@ -205,7 +202,7 @@
         if not expected:
             return
         if ending in (Ending.READ, Ending.DONE):
-            self.bore[forward.engine.role] += now >= forward.engine.cold_until
+            self.finished[forward.engine.role] += now >= forward.engine.cold_until
             self._keeps(forward.engine, req, forward.unread or req.prompt, note)
         if ending is Ending.DONE:
             self.streams.add(took - forward.first_took)
@@ -254,10 +251,9 @@
             self._let_go(req)
         return None
 
-    def on_probed(self, name: str, ok: bool, took: int, report: LoadReport | None) -> None:
-        engine = self.engines[name]
+    def on_probed(self, name: str, report: LoadReport | None) -> None:
         if report:
-            self._heed(engine, report)
+            self._heed(self.engines[name], report)
 
     # Choosing an engine.
 
@@ -389,7 +385,7 @@
             return own
         held = max(report.memory_used or 0, report.slots_used or 0)
         if report.queued:
-            running = (report.held or 0) - report.queued or memory / max(self.mean_tokens, 1)
+            running = (report.held or 0) - report.queued or memory / max(self.sizes.quantile(0.5), 1)
             held = max(held, 1) + report.queued / max(running, 1)
         return max(own, held + own - engine.tokens_then / memory)
 
@@ -519,12 +515,10 @@
 
     def _first_answer(self, req: Req, forward: Forward, took: int) -> None:
         """The engine answered: a prompt is read or a stream has begun."""
-        engine, now, pace = forward.engine, self.host.now(), self.pace[self._work(forward)]
+        engine, now, work = forward.engine, self.host.now(), self._work(forward)
         engine.heard_at, engine.failures, engine.down = now, 0, False
-        work = self._work(forward)
         engine.overtaken[work] = max(engine.overtaken.get(work, 0), forward.sent_at)
-        per_1000 = took * 1000 // (forward.backlog + OVERHEAD)
-        pace.add(per_1000)
+        self.pace[work].add(took * 1000 // (forward.backlog + OVERHEAD))
         forward.begun, forward.first_took = True, took
         engine.unread -= forward.unread
         engine.out.pop((req.demand.id, forward.number), None)
@@ -547,18 +541,20 @@
             engine.cold_sends.popleft()
         if engine.report and engine.report.queued and now - engine.report_at < FRESH:
             return False
-        return len(engine.cold_sends) < max(1, int(self.usual[engine.role] * self.cold_part))
+        usual = self.finished[engine.role] / max(self.warm[engine.role], 1)
+        return len(engine.cold_sends) < max(1, int(usual * self.cold_part))
 
     def _turn_of_window(self) -> None:
         now = self.host.now()
         if self.ask_again:
             self.ask_again = False
             self.host.watch_engines()
-        for role, bore in self.bore.items():
-            warm = sum(e.role == role and e.ready and now >= e.cold_until for e in self.engines.values())
-            if warm:
-                self.usual[role] += (bore / warm - self.usual[role]) / 4
-            self.bore[role] = 0
+        for role in self.warm:
+            ready = self.readers if role == "read" else self.writers
+            self.warm[role] += sum(e.role == role and now >= e.cold_until for e in ready)
+            if self.warm[role] > COLD_MEMORY:
+                self.warm[role] /= 2
+                self.finished[role] /= 2
         self.host.wake(self.window, TURN_OF_WINDOW)
 
     # Acting.
@@ -575,7 +571,7 @@
         )  # fmt: skip
         engine.tokens += tokens
         if tokens:
-            self.mean_tokens += (tokens - self.mean_tokens) / 32
+            self.sizes.add(tokens)
         engine.unread += unread
         engine.out[req.demand.id, forward.number] = forward
         if now < engine.cold_until:
--- a/lifthead/simhost/serve.py
+++ b/lifthead/simhost/serve.py
@@ -84,19 +84,16 @@
         elif name == "ALARM":
             router.on_wake(wire.whole(fields, "Label"))
         elif name == "ECHO":
-            ok = wire.required(fields, "Ending") == "done"
-            engine, took = wire.required(fields, "Engine"), wire.whole(fields, "Took", 0)
-            router.on_probed(engine, ok, took, wire.report_of(fields))
+            router.on_probed(wire.required(fields, "Engine"), wire.report_of(fields))
         elif name == "BACKENDS_CHANGED":
             how = wire.required(fields, "How")
             if how == "unavailable":
                 router.on_engines_unavailable()
             elif how in ("update", "replace", "restored"):
-                number = fields.get("List", "0")
-                sheet = self.sheets.get(number)
+                sheet = self.sheets.get(fields.get("List", "0"))
                 if sheet is None:
-                    raise MalformedError(f"BACKENDS_CHANGED names list {number[:40]}, which was never sent")
-                router.on_engines(sheet, whole_list=how != "update", stale=how == "restored")
+                    raise MalformedError("BACKENDS_CHANGED names a list that was never sent")
+                router.on_engines(sheet, whole_list=how != "update")
             else:
                 raise MalformedError(f"How={how[:40]} is not known")
 
--- a/lifthead/state.py
+++ b/lifthead/state.py
@@ -24,7 +24,9 @@
             self.total /= 2
 
     def quantile(self, part: float) -> int:
-        """The value below which this part of the counts lies, straight lines drawn inside the bins."""
+        """The value below which this part of the counts lies, by straight lines inside bins; 0 if empty."""
+        if not self.total:
+            return 0
         left = part * self.total
         for index, count in enumerate(self._counts):
             if count and left <= count:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -41,7 +41,7 @@
     def __init__(self, *entries, **changes):
         self.clock, self.did, self.next_id, self.sent = 100_000_000, [], 1, {}
         self.router = Router(self, replace(DEPLOYMENT, **changes))
-        self.router.on_engines(list(entries), whole_list=True, stale=True)
+        self.router.on_engines(list(entries), whole_list=True)
 
     def now(self):
         return self.clock
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -33,7 +33,7 @@
     bench = Bench(*TWO_ZONES)
     first = bench.last(bench.serve(beginning=beginning, session=session)) and bench.sent[1][0]
     other = next(name for name in ("R1", "R2") if name != first)
-    bench.router.on_engines([entry(other, readiness="gone")], whole_list=False, stale=False)
+    bench.router.on_engines([entry(other, readiness="gone")], whole_list=False)
     assert bench.sent[bench.serve(beginning=beginning, session=session)][0] == first
 
 
@@ -229,9 +229,9 @@
     bench = Bench(*CELL)
     if news == "left out":
         rest = [e for e in CELL if e.engine != engine]
-        bench.router.on_engines(rest, whole_list=True, stale=False)
+        bench.router.on_engines(rest, whole_list=True)
     else:
-        bench.router.on_engines([entry(engine, readiness=news)], whole_list=False, stale=False)
+        bench.router.on_engines([entry(engine, readiness=news)], whole_list=False)
     for number in range(20):
         bench.serve(100 if number % 2 else 6000, beginning=str(number))
     assert engine not in {name for sent in bench.sent.values() for name in sent}
@@ -246,7 +246,7 @@
         bench.serve(100)
         bench.pass_time(100_000)
     bench.sent.clear()
-    bench.router.on_engines([entry("W1", up_since=bench.clock)], whole_list=False, stale=False)
+    bench.router.on_engines([entry("W1", up_since=bench.clock)], whole_list=False)
     for _ in range(20):  # one window
         bench.serve(100)
         bench.pass_time(100_000)
@@ -265,7 +265,7 @@
     later = bench.req(100)
     assert bench.answers(later) == [] and bench.last(later) == "R1"
     bench.clock += 300_000
-    bench.router.on_engines([entry("R1", readiness="gone")], whole_list=False, stale=False)
+    bench.router.on_engines([entry("R1", readiness="gone")], whole_list=False)
     bench.clock += 900_000 if not queued else 100_000
     assert bench.answers(bench.req(100)) == (["push_back"] if queued else [])
 
