--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -7,7 +7,8 @@
 
 INIT = (
     "INIT Router=0 Nonce64=5 Zone=a Dcs=a Flavors=P,D FamilyInfo.RoleByKind=read,write "
-    "FamilyInfo.KvTokens=9000,9000 FamilyInfo.LocalRead=true New.Thing=7 Grades.count=1 Grades.0.Name=chat Grades.0.Effect=safe "
+    "FamilyInfo.KvTokens=9000,9000 FamilyInfo.LocalRead=true New.Thing=7 "
+    "Grades.count=1 Grades.0.Name=chat Grades.0.Effect=safe "
     "Grades.0.Target=1000000 PolicyLimits.MaxAttempts=4 ReplicasOfMe=1 Rules.OverloadFor=1000000"
 )  # fmt: skip
 SHEET = (
