--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -160,14 +160,12 @@
                     return self._forward(req, writer, "read there")
             reader = self._reader(req, home)
             wait = self._wait(reader, req, "read") if reader else NEVER
-            away = bool(reader) and reader.zone != home  # the state would have to cross zones
-            if away or wait > DROWNED * req.wanted_in:
+            if wait > DROWNED * req.wanted_in:
                 # Exception, drowned readers: a prompt of any length is read where it is written if that is
                 # sooner, at a mixed server, or at a writer that keeps so much of it that what is left is a
                 # short read. Covers readers gone, slow or flushed, and hot beginnings.
                 writer = self._stand_in(req, home)
-                limit = DROWNED * req.wanted_in if away else wait
-                if writer and self._wait(writer, req, "read there") < max(limit, wait):
+                if writer and self._wait(writer, req, "read there") < wait:
                     return self._forward(req, writer, "read there")
             if reader is None or self._hopeless(req, home, wait):
                 return self._give_up(req)
