--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -394,3 +394,42 @@
     for engine in bench.router.engines.values():
         engine.strikes, engine.trial_at = 1, bench.clock + 9_000_000
     assert bench.sent[bench.serve(6000)]
+
+
+# Cases where guards meet.
+
+
+def test_with_every_engine_cold_some_work_is_taken_and_the_rest_pushed_back():
+    bench = Bench(*(entry(name, up_since=99_000_000) for name in ("R1", "W1", "W2")))
+    reqs = [bench.req(100, session=str(n)) for n in range(9)]
+    taken = [req_id for req_id in reqs if bench.sent.get(req_id)]
+    assert 1 <= len(taken) <= 3
+    assert all(bench.answers(req_id) == ["push_back"] for req_id in reqs if req_id not in taken)
+
+
+@pytest.mark.parametrize(("age", "engine"), [(0, "R1"), (control.FRESH + 1, "W1")])
+def test_a_report_that_stays_frozen_is_not_believed_for_long(age, engine):
+    bench = Bench(entry("R1"), entry("W1"))
+    bench.serve(100)
+    bench.router.on_probed("W1", report(queued=5.0, memory_used=1.0))
+    bench.clock += age
+    assert bench.last(bench.req(100)) == engine
+
+
+def test_an_engine_that_only_ever_refuses_costs_each_req_one_forward():
+    bench = Bench(entry("R1"), entry("W1"), entry("W2"))
+    for number in range(12):
+        req_id = bench.req(10, session=str(number))
+        if bench.last(req_id) == "W1":
+            bench.end(req_id, Ending.BUSY)
+        assert bench.last(req_id) in ("W2", "R1") and len(bench.sent[req_id]) <= 2
+        bench.router.on_expired(req_id)
+        bench.end(req_id, Ending.CANCELLED)
+
+
+def test_an_engine_back_under_its_name_is_cold_and_no_longer_suspect():
+    bench = warmed(*CELL)
+    bench.router.engines["W1"].strikes = 5
+    bench.router.on_engines([entry("W1", up_since=bench.clock)], whole_list=False)
+    engine = bench.router.engines["W1"]
+    assert not engine.strikes and engine.cold_until > bench.clock
