--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -573,8 +573,6 @@
         if tokens:
             self.sizes.add(tokens)
         engine.unread += unread
-        if unread and req.demand.beginning:
-            engine.kept.setdefault(req.demand.beginning, req.demand.beginning_len)
         engine.out[req.demand.id, forward.number] = forward
         if now < engine.cold_until:
             engine.cold_sends.append(now)
