--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -83,7 +83,6 @@
         even = SHARE_SLACK / 1_000_000 / deployment.routers  # shares are by the second and for all routers
         self.share = {name: tenant.quota_per_s * even for name, tenant in deployment.tenants.items()}
         self.within = {name: (0.0, 0) for name in self.share}  # reqs a tenant may still send, and as of when
-        self.must_ask = deployment.must_ask
         self.engines: dict[str, Engine] = {}
         self.readers: list[Engine] = []  # ready ones, by name
         self.writers: list[Engine] = []  # ready ones, mixed included, by name
@@ -96,7 +95,7 @@
         host.wake(self.window, TURN_OF_WINDOW)
         host.wake(LOOK_EVERY, LOOK_ROUND)
         self.ask_again = False
-        if self.must_ask:
+        if deployment.must_ask:
             host.watch_engines()
 
     # What can happen to the list of engines.
@@ -113,11 +112,11 @@
             if engine is None:
                 role, memory = self.roles.get(entry.kind, "both"), self.memory.get(entry.kind, 0)
                 engine = self.engines[entry.engine] = Engine(
-                    entry.engine, entry.zone, entry.cell, entry.kind, role, entry.weight, memory,
+                    entry.engine, entry.zone, entry.cell, role, entry.weight, memory,
                     entry.up_since, False,
                 )  # fmt: skip
             elif entry.up_since != engine.up_since:  # back under the same name: what was held against it goes
-                engine.strikes, engine.failures, engine.down, engine.report = 0, 0, False, None
+                engine.strikes, engine.failures, engine.report = 0, 0, None
             engine.zone, engine.cell, engine.weight = entry.zone, entry.cell, entry.weight or 1.0
             engine.ready, engine.up_since = entry.readiness == "ready", entry.up_since
             if entry.up_since:
@@ -128,7 +127,7 @@
 
     def on_engines_unavailable(self) -> None:
         """Where news must be asked for, it is asked for again at the turn of the window."""
-        self.ask_again = self.must_ask
+        self.ask_again = True
 
     # What can happen to a req.
 
@@ -180,7 +179,7 @@
         if req is None or req.out is None or req.out.number != number:
             return
         req.began, req.held_at = True, None
-        self._first_answer(req, req.out, took)
+        self._first_answer(req.out, took)
 
     def on_ended(
         self, req_id: int, number: int, name: str, ending: Ending, took: int, note: int, final: bool,
@@ -195,8 +194,8 @@
         if expected:
             forward, req.out = req.out, None
             if not forward.begun and ending in (Ending.READ, Ending.DONE):
-                self._first_answer(req, forward, took)
-            self._unload(req, forward)
+                self._first_answer(forward, took)
+            self._unload(forward)
         if engine and report:
             self._heed(engine, report)
         if not expected:
@@ -211,8 +210,7 @@
             # One failed connection says little, a second with no answer in between that the engine is down.
             # A time-out says nothing of its engine: it is the client's patience that ended.
             forward.engine.failures += 1
-            forward.engine.down = forward.engine.failures > 1
-            if forward.engine.down:
+            if self._down(forward.engine):
                 self._strike(forward.engine, now)
         if final or req.answered or req.began:
             req.answered = True
@@ -350,9 +348,9 @@
         """Engines that may get this req now: the rules allow it, not tried yet, and well as far as can be
         told."""
         now = self.host.now()
-        doubted = sum(not engine.down and not self._well(engine, now) for engine in engines)
+        up = [engine for engine in engines if not self._down(engine)]
         # When most of a role looks bad at once, that says nothing about single engines: use them all.
-        trust_all = doubted * 2 > sum(not engine.down for engine in engines)
+        trust_all = sum(not self._well(engine, now) for engine in up) * 2 > len(up)
         return [
             engine
             for engine in engines
@@ -360,7 +358,7 @@
             and (not engine.memory or req.prompt <= engine.memory)
             and self._in_group(engine, req, now)
             and self._cold_room(engine, now)
-            and (self._well(engine, now) or self._trial(engine, req, now) or trust_all and not engine.down)
+            and (self._well(engine, now) or self._trial(engine, req, now) or trust_all and engine in up)
         ]
 
     def _in_group(self, engine: Engine, req: Req, now: int) -> bool:
@@ -391,12 +389,16 @@
 
     def _backlog(self, engine: Engine) -> int:
         """Prompt tokens that wait to be read there, by this router's own or by the engine's fresh word."""
-        report = engine.report
-        if report and report.unread_thousands and self.host.now() - engine.report_at < FRESH:
+        report = self._word(engine)
+        if report and report.unread_thousands:
             told = int(report.unread_thousands * 1000)
             return max(engine.unread, told + engine.unread - engine.unread_then)
         return engine.unread
 
+    def _word(self, engine: Engine) -> LoadReport | None:
+        """The engine's latest report, while it is fresh enough to be believed."""
+        return engine.report if self.host.now() - engine.report_at < FRESH else None
+
     def _heed(self, engine: Engine, report: LoadReport) -> None:
         engine.report, engine.report_at = report, self.host.now()
         engine.tokens_then, engine.unread_then = engine.tokens, engine.unread
@@ -423,8 +425,8 @@
             del kept[next(iter(kept))]
 
     def _crowded(self, engine: Engine, req: Req) -> bool:
-        report = engine.report
-        if report and report.queued and self.host.now() - engine.report_at < FRESH:
+        report = self._word(engine)
+        if report and report.queued:
             return True
         unread = self._backlog(engine) + self._unread(engine, req)
         return self._pressure(engine) > BUSY or unread > LOCAL_UNREAD
@@ -435,6 +437,9 @@
         """Neither suspect, nor silent, nor stalled."""
         return not (engine.strikes or self._silent(engine, now) or self._stalled(engine, now))
 
+    def _down(self, engine: Engine) -> bool:
+        return engine.failures > 1
+
     def _stalled(self, engine: Engine, now: int) -> bool:
         """Several streams run there and none has ended for longer than nine in ten streams last. Guards
         against an engine that begins answers and does not bring them to an end: hung, thrashing, many times
@@ -513,17 +518,16 @@
         engine.trial_at = now + min(TRIAL_AFTER << engine.strikes, TRIAL_LIMIT)
         engine.strikes += 1
 
-    def _first_answer(self, req: Req, forward: Forward, took: int) -> None:
+    def _first_answer(self, forward: Forward, took: int) -> None:
         """The engine answered: a prompt is read or a stream has begun."""
         engine, now, work = forward.engine, self.host.now(), self._work(forward)
-        engine.heard_at, engine.failures, engine.down = now, 0, False
+        engine.heard_at, engine.failures = now, 0
         engine.overtaken[work] = max(engine.overtaken.get(work, 0), forward.sent_at)
         self.pace[work].add(took * 1000 // (forward.backlog + OVERHEAD))
         forward.begun, forward.first_took = True, took
-        engine.unread -= forward.unread
-        engine.out.pop((req.demand.id, forward.number), None)
+        self._waits_no_more(forward)
         if not forward.reading:
-            engine.begun[req.demand.id, forward.number] = now
+            engine.begun[forward.req, forward.number] = now
         if engine.strikes:  # back: what fell silent is likely cold, whether or not the list has said so
             engine.strikes = 0
             engine.cold_until = max(engine.cold_until, now + self.warm_within)
@@ -539,7 +543,8 @@
             return True
         while engine.cold_sends and engine.cold_sends[0] <= now - self.window:
             engine.cold_sends.popleft()
-        if engine.report and engine.report.queued and now - engine.report_at < FRESH:
+        report = self._word(engine)
+        if report and report.queued:
             return False
         usual = self.finished[engine.role] / max(self.warm[engine.role], 1)
         return len(engine.cold_sends) < max(1, int(usual * self.cold_part))
@@ -580,10 +585,13 @@
         req.forwards += 1
         self.host.forward(req.demand.id, engine.name, req.due_at)
 
-    def _unload(self, req: Req, forward: Forward) -> None:
+    def _unload(self, forward: Forward) -> None:
         forward.engine.tokens -= forward.tokens
-        forward.engine.begun.pop((req.demand.id, forward.number), None)
-        if forward.engine.out.pop((req.demand.id, forward.number), None):
+        forward.engine.begun.pop((forward.req, forward.number), None)
+        self._waits_no_more(forward)
+
+    def _waits_no_more(self, forward: Forward) -> None:
+        if forward.engine.out.pop((forward.req, forward.number), None):
             forward.engine.unread -= forward.unread
 
     def _give_up(self, req: Req) -> None:
--- a/lifthead/state.py
+++ b/lifthead/state.py
@@ -63,7 +63,6 @@
     name: str
     zone: str
     cell: int
-    kind: str
     role: str
     weight: float
     memory: int
@@ -86,7 +85,6 @@
     kept: dict[str, int] = field(default_factory=dict)  # tokens of a session or beginning, latest last
     strikes: int = 0
     failures: int = 0  # connections to it that failed since its last first answer
-    down: bool = False
     trial_at: int = 0  # while suspect: when the next trial may go
 
 
