Uneven cells keep what their writers can take; small tenants are not over share at thin routers

Told apart from too little capacity by the idle writers of the same zone, from health by reports. Change: from the list, a cell keeps the part of its reads that its writers can take; the rest is drawn where writers are to spare. Also covers a cell that loses writers. May hurt where a cell's link is the narrower thing. And a tenant's bucket held about one req at a router with a req a second: all small tenants counted as over their share. It holds 4 more now. Standing-streams guard out: no router has four streams at an engine any more.

--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -10,6 +10,7 @@
 """
 
 import random
+from collections import Counter
 from hashlib import blake2b
 
 from lifthead.interface import Demand, Deployment, Effect, Ending, EngineEntry, Host, LoadReport
@@ -30,14 +31,14 @@
 EMPTIER = 0.15  # ... if one's writers hold this much less
 DROWNED = 0.35  # a read expected to take this part of the response target is made elsewhere if that is sooner
 OVER_SHARE = 0.3  # part of HOPELESS that holds for a tenant beyond its share
-SHARE_SLACK = 1.5  # a tenant may send this router so many times an even part of its share
+SHARE_SLACK = 1.5  # a tenant may send this router so many times an even part of its share ...
+SHARE_BURST = 4  # ... and so many reqs besides: with many routers an even part is less than one a window
 HOPELESS = 0.7  # a req is pushed back when its wait is expected to be this part of its response target
 KEPT_KEYS = 256  # sessions and beginnings remembered for an engine
 
 # Health.
 OVERHEAD = 1000  # tokens' worth of time that any first answer takes, however short its prompt
 ENOUGH = 12  # measurements before a histogram is believed
-ENOUGH_STREAMS = 4  # streams at an engine before their standing still says something
 PATIENCE = 5.0  # a forward is waited for this many times what nine in ten of its kind take ...
 OVERTAKEN = 0.4  # ... and this part of that once the engine has answered one sent later
 TRIAL_AFTER = 1_000_000  # a suspect's first trial; twice as long after each further strike
@@ -73,8 +74,7 @@
         self.writers_read = deployment.writers_read
         self.max_forwards = deployment.max_forwards
         self.may_cancel = deployment.may_cancel
-        # Where load reports come with probes alone, they are asked for: own tokens don't show other routers'
-        # reqs.
+        # Where load reports come with probes alone, they are asked for.
         self.probes = deployment.reports_on_probe and deployment.may_probe
         self.hold_off = deployment.max_hold_off if deployment.may_hold_off else 0
         self.window = max(deployment.overload_for, 1)
@@ -82,10 +82,13 @@
         self.cold_part = deployment.cold_share * deployment.tip_multiple * COLD_PART
         even = SHARE_SLACK / 1_000_000 / deployment.routers  # shares are by the second and for all routers
         self.share = {name: tenant.quota_per_s * even for name, tenant in deployment.tenants.items()}
-        self.within = {name: (0.0, 0) for name in self.share}  # reqs a tenant may still send, and as of when
+        # Reqs that a tenant may still send, and as of when.
+        self.within = {name: (float(SHARE_BURST), 0) for name in self.share}
         self.engines: dict[str, Engine] = {}
         self.readers: list[Engine] = []  # ready ones, by name
         self.writers: list[Engine] = []  # ready ones, mixed included, by name
+        self.keeps: dict[tuple[str, int], float] = {}  # part of what a cell reads that its writers can take
+        self.spare: dict[str, float] = {}  # of writers, what their own cell's readers leave of them
         self.reqs: dict[int, Req] = {}
         self.pace = {work: Histogram(1000, 14, 400) for work in ("read", "fetch", "read there")}
         self.streams = Histogram(100_000, 10, 400)  # how long answers stream
@@ -124,6 +127,25 @@
         ready = [self.engines[name] for name in sorted(self.engines) if self.engines[name].ready]
         self.readers = [engine for engine in ready if engine.role == "read"]
         self.writers = [engine for engine in ready if engine.role != "read"]
+        self._even_out()
+
+    def _even_out(self) -> None:
+        """Exception, uneven cells: a cell with more of its zone's readers than of its writers can't write all
+        that it reads. Own tokens show nothing of this when many routers each send a little, so the list of
+        engines tells it: such a cell keeps what its writers can take, and the rest goes to writers of cells
+        that have more of them than they need."""
+        reads, writes = self._parts(self.readers), self._parts(self.writers)
+        self.keeps = {at: min(1.0, writes.get(at, 0.0) / part) for at, part in reads.items()}
+        spare = {at: max(part - reads.get(at, 0.0), 0.0) / part for at, part in writes.items()}
+        self.spare = {e.name: e.weight * (spare[e.zone, e.cell] + 1e-9) for e in self.writers}
+
+    def _parts(self, engines: list[Engine]) -> dict[tuple[str, int], float]:
+        """The part of its zone's that each cell holds of these engines, by weight."""
+        zones, cells = Counter[str](), Counter[tuple[str, int]]()
+        for engine in engines:
+            zones[engine.zone] += engine.weight
+            cells[engine.zone, engine.cell] += engine.weight
+        return {at: weight / zones[at[0]] for at, weight in cells.items()}
 
     def on_engines_unavailable(self) -> None:
         """Where news must be asked for, it is asked for again at the turn of the window."""
@@ -205,7 +227,6 @@
             self._keeps(forward.engine, req, forward.unread or req.prompt, note)
         if ending is Ending.DONE:
             self.streams.add(took - forward.first_took)
-            forward.engine.ended_at = now
         if ending in (Ending.UNREACHABLE, Ending.BROKEN):
             # One failed connection says little, a second with no answer in between that the engine is down.
             # A time-out says nothing of its engine: it is the client's patience that ended.
@@ -276,11 +297,9 @@
         key = req.demand.beginning or req.demand.session
         order = sorted(usable, key=lambda engine: (engine.zone != home, rank(key, engine.name)))
         # Exception, a hot beginning: a reader is passed over for the next in the key's order when what waits
-        # there and what it would have to read of this prompt is clearly more than elsewhere, kept text
-        # considered. So a beginning stays on few readers. Also covers a zone that gets too much to read. The
-        # unread part weighs more than the wait: reading anew what is kept elsewhere makes all behind it wait,
-        # and readers that pass prompts on for their queues' sake lose each other's texts until nothing is
-        # kept anywhere.
+        # there and what it would have to read of this prompt is clearly more than elsewhere. Also covers a
+        # zone that gets too much to read. The unread part weighs more than the wait: readers that pass
+        # prompts on for their queues' sake lose each other's texts until nothing is kept anywhere.
         costs = {e.name: self._backlog(e) + ANEW * self._unread(e, req) for e in usable}
         bound = HOT_TIMES * min(costs.values()) + HOT_SLACK
         return next(engine for engine in order if costs[engine.name] <= bound)
@@ -323,7 +342,8 @@
         if tenant not in self.share:
             return False
         left, then = self.within[tenant]
-        left = min(left + (now - then) * self.share[tenant], 2 * self.window * self.share[tenant])
+        most = 2 * self.window * self.share[tenant] + SHARE_BURST
+        left = min(left + (now - then) * self.share[tenant], most)
         self.within[tenant] = (max(left - 1, 0.0), now)
         return left < 1
 
@@ -340,8 +360,13 @@
         in_zone = in_zone or [e for e in usable if e.zone == zone] or usable
         if not in_zone:
             return None
-        in_cell = [engine for engine in in_zone if engine.cell == cell] or in_zone
-        kept, other = self.chance.choice(in_cell), self.chance.choice(in_zone)
+        in_cell = [engine for engine in in_zone if engine.cell == cell]
+        by_weight = [engine.weight for engine in in_zone]
+        by_spare = [self.spare.get(engine.name, 0.0) for engine in in_zone] if in_cell else by_weight
+        other = self.chance.choices(in_zone, by_spare)[0]
+        if in_cell and self.chance.random() > self.keeps.get((zone, cell), 1.0):
+            return other
+        kept = self.chance.choices(in_cell or in_zone, None if in_cell else by_weight)[0]
         return other if self._load(kept) > HEAVIER * self._load(other) + HEAVIER_BY else kept
 
     def _usable(self, engines: list[Engine], req: Req) -> list[Engine]:
@@ -411,8 +436,7 @@
 
     def _keeps(self, engine: Engine, req: Req, unread: int, found: int) -> None:
         """Notes what an engine has read. One that found much less than expected has lost its texts: a flush,
-        a restart that no list has told of, a memory too small. Then nothing is taken for kept until it is
-        read there again."""
+        an untold restart, a memory too small. Then nothing counts as kept until it is read there again."""
         kept = engine.kept
         if found < (req.prompt - unread) / 2:
             kept.clear()
@@ -434,21 +458,12 @@
     # Health, as far as this router's own forwards show it.
 
     def _well(self, engine: Engine, now: int) -> bool:
-        """Neither suspect, nor silent, nor stalled."""
-        return not (engine.strikes or self._silent(engine, now) or self._stalled(engine, now))
+        """Neither suspect nor silent."""
+        return not (engine.strikes or self._silent(engine, now))
 
     def _down(self, engine: Engine) -> bool:
         return engine.failures > 1
 
-    def _stalled(self, engine: Engine, now: int) -> bool:
-        """Several streams run there and none has ended for longer than nine in ten streams last. Guards
-        against an engine that begins answers and does not bring them to an end: hung, thrashing, many times
-        slower. It is left alone until a stream ends or all have broken."""
-        if len(engine.begun) < ENOUGH_STREAMS or self.streams.total < ENOUGH:
-            return False
-        since = max(next(iter(engine.begun.values())), engine.ended_at)
-        return now - since > self.streams.quantile(0.9)
-
     def _silent(self, engine: Engine, now: int) -> bool:
         """Nothing heard from it for much longer than its oldest unanswered forward ought to take. Guards
         against an engine that takes work and does not answer: gone, cut off, hung. One that is only busy
@@ -463,9 +478,8 @@
 
     def _look_round(self) -> None:
         """What a silent engine holds is called off and tried elsewhere, in time for an answer; what must not
-        run twice stays there and hopes. A busy engine is not called off from: where cancels stop no work,
-        that is waste. Nor is one while most of its role are silent: it would only be thrown from one to the
-        next."""
+        run twice stays there and hopes. A busy engine is not called off from, nor one while most of its role
+        are silent: work would only be thrown from one to the next."""
         now = self.host.now()
         silent = [engine for engine in self.readers + self.writers if self._silent(engine, now)]
         for engine in silent:
@@ -526,8 +540,6 @@
         self.pace[work].add(took * 1000 // (forward.backlog + OVERHEAD))
         forward.begun, forward.first_took = True, took
         self._waits_no_more(forward)
-        if not forward.reading:
-            engine.begun[forward.req, forward.number] = now
         if engine.strikes:  # back: what fell silent is likely cold, whether or not the list has said so
             engine.strikes = 0
             engine.cold_until = max(engine.cold_until, now + self.warm_within)
@@ -587,7 +599,6 @@
 
     def _unload(self, forward: Forward) -> None:
         forward.engine.tokens -= forward.tokens
-        forward.engine.begun.pop((forward.req, forward.number), None)
         self._waits_no_more(forward)
 
     def _waits_no_more(self, forward: Forward) -> None:
--- a/lifthead/state.py
+++ b/lifthead/state.py
@@ -71,8 +71,6 @@
     tokens: int = 0  # of this router's forwards: prompt plus allowed output
     unread: int = 0  # of this router's forwards: prompt tokens not known to be read
     out: dict[tuple[int, int], Forward] = field(default_factory=dict)  # no first answer yet
-    begun: dict[tuple[int, int], int] = field(default_factory=dict)  # streams that run, since when
-    ended_at: int = 0  # when a stream last ended well
     report: LoadReport | None = None
     report_at: int = 0
     tokens_then: int = 0  # this router's own when the report came
