--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -43,12 +43,14 @@
 TRIAL_AFTER = 1_000_000  # a suspect's first trial; twice as long after each further strike
 TRIAL_LIMIT = 8_000_000
 FRESH = 4_000_000  # age to which a load report is believed
-PROBE_EVERY = 1_000_000  # where reports come on probes alone
+PROBE_EVERY = 300_000  # where reports come on probes alone, an engine is asked so often at most
+PROBES = 4  # others of its zone that are asked along with each engine that a req goes to
 LOOK_EVERY = 100_000  # how often silent engines are looked for
 NEVER = 1 << 62
 
 # Cold engines.
 COLD_PART = 0.8  # of what rule 4 would let all routers together send one
+COLD_LEAST = 2  # forwards a window that all together may send one, however little is known yet
 COLD_MEMORY = 64  # engines times windows after which older ones count half
 
 # Labels of wake-ups: a req's own is its id, shifted.
@@ -96,11 +98,11 @@
         self.writers_read = deployment.writers_read
         self.max_forwards = deployment.max_forwards
         self.may_cancel = deployment.may_cancel
-        # Where load reports come with probes alone, they are asked for.
         self.probes = deployment.reports_on_probe and deployment.may_probe
         self.hold_off = deployment.max_hold_off if deployment.may_hold_off else 0
         self.window = max(deployment.overload_for, 1)
         self.warm_within = deployment.warm_within
+        self.cold_least = min(COLD_LEAST / deployment.routers, 1.0)
         self.cold_part = deployment.cold_share * deployment.tip_multiple * COLD_PART
         even = SHARE_SLACK / 1_000_000 / deployment.routers  # shares are by the second and for all routers
         self.share = {name: tenant.quota_per_s * even for name, tenant in deployment.tenants.items()}
@@ -126,8 +128,7 @@
     # What can happen to the list of engines.
 
     def on_engines(self, entries: list[EngineEntry], whole_list: bool) -> None:
-        """News of engines. Draining, gone and left-out ones get nothing from here on; the grace is not
-        used."""
+        """News of engines. Draining, gone and left-out ones get nothing from here on."""
         if whole_list:
             named = {entry.engine for entry in entries}
             for engine in self.engines.values():
@@ -145,7 +146,7 @@
             engine.zone, engine.cell, engine.weight = entry.zone, entry.cell, entry.weight or 1.0
             engine.ready, engine.up_since = entry.readiness == "ready", entry.up_since
             if entry.up_since:
-                engine.cold_until = max(engine.cold_until, entry.up_since + self.warm_within)
+                self._cold(engine, entry.up_since + self.warm_within)
         ready = [self.engines[name] for name in sorted(self.engines) if self.engines[name].ready]
         self.readers = [engine for engine in ready if engine.role == "read"]
         self.writers = [engine for engine in ready if engine.role != "read"]
@@ -188,7 +189,6 @@
         req = Req(demand, group, group.effect, demand.prompt, now + demand.budget, target, wanted_in)
         req.over_share = self._over_share(demand.tenant, now)
         self.reqs[demand.id] = req
-        # The final answer is owed whatever the forwards do, so its time is set before anything else.
         self.host.wake(max(demand.budget - self.tick, 1), demand.id << 2)
         self._route(req)
 
@@ -209,8 +209,7 @@
             wait = self._wait(reader, req, "read") if reader else NEVER
             if wait > DROWNED * req.wanted_in:
                 # Exception, drowned readers: a prompt of any length is read where it is written if that is
-                # sooner, at a mixed server, or at a writer that keeps so much of it that what is left is a
-                # short read. Covers readers gone, slow or flushed, and hot beginnings.
+                # sooner and a short read. Covers readers gone, slow or flushed, and hot beginnings.
                 writer = self._stand_in(req, home)
                 if writer and self._wait(writer, req, "read there") < wait:
                     return self._forward(req, writer, "read there")
@@ -257,7 +256,7 @@
             # One failed connection says little, a second with no answer in between that the engine is down.
             # A time-out says nothing of its engine: it is the client's patience that ended.
             forward.engine.failures += 1
-            if self._down(forward.engine):
+            if forward.engine.failures > 1:
                 self._strike(forward.engine, now)
         if final or req.answered or req.began:
             req.answered = True
@@ -371,9 +370,8 @@
         usable = self._usable(self.writers, req)
         if reads and not self.writers_read:
             usable = [engine for engine in usable if engine.role == "both"]
-        # Exception, a full writer: one that has no room leaves the draw while others in the zone, or else in
-        # another zone, have some. Covers what own tokens don't show: other routers' reqs, few slots, slow
-        # streams.
+        # Exception, a full writer: one that has no room leaves the draw while others in the zone, or else
+        # anywhere, have some. Covers what own tokens don't show: others' reqs, few slots, slow streams.
         room = [engine for engine in usable if self._pressure(engine) < 1]
         in_zone = [e for e in room if e.zone == zone] or room
         in_zone = in_zone or [e for e in usable if e.zone == zone] or usable
@@ -390,7 +388,7 @@
     def _usable(self, engines: list[Engine], req: Req) -> list[Engine]:
         """Engines that may get this req now: allowed by the rules, not tried yet, well as far as is told."""
         now = self.host.now()
-        up = [engine for engine in engines if not self._down(engine)]
+        up = [engine for engine in engines if engine.failures <= 1]
         well = {engine.name for engine in up if not engine.strikes and not self._silent(engine, now)}
         # When most of a role looks bad at once, that says nothing about single engines: use them all.
         trust_all = len(well) * 2 < len(up)
@@ -477,19 +475,14 @@
 
     # Health, as far as this router's own forwards show it.
 
-    def _down(self, engine: Engine) -> bool:
-        return engine.failures > 1
-
     def _silent(self, engine: Engine, now: int) -> bool:
-        """Nothing heard from it for much longer than its oldest unanswered forward ought to take. Guards
-        against an engine that takes work and does not answer: gone, cut off, hung. One that is only busy
-        answers others."""
+        """Nothing heard from it for much longer than its oldest unanswered forward ought to take: gone, cut
+        off, hung. One that is only busy answers others."""
         oldest = self._awaited(engine)
         return oldest is not None and now - max(oldest.sent_at, engine.heard_at) > self._patience(oldest)
 
     def _awaited(self, engine: Engine) -> Forward | None:
-        """Its oldest unanswered forward that is not written off: one that is lost is held against it only
-        once."""
+        """Its oldest unanswered forward, but none twice that was held against it before."""
         return next((forward for forward in engine.out.values() if not forward.written_off), None)
 
     def _look_round(self) -> None:
@@ -508,10 +501,6 @@
                 if not forward.written_off and (forward.reading or forward.may_repeat):
                     self.host.cancel(forward.req, forward.number)
                 forward.written_off = True
-        for engine in self.readers + self.writers if self.probes else ():
-            if now - engine.probed_at >= PROBE_EVERY:
-                engine.probed_at = now
-                self.host.probe(engine.name)
         self.host.wake(LOOK_EVERY, LOOK_ROUND)
 
     def _trial(self, engine: Engine, req: Req, now: int) -> bool:
@@ -523,7 +512,6 @@
         pace = self.pace[self._work(forward)]
         if pace.total < ENOUGH:
             return NEVER
-        # Never less than the response target: where answers usually come at once, a short wait is no silence.
         return max(int(PATIENCE * pace.quantile(0.9) * (forward.backlog + OVERHEAD) / 1000), forward.target)
 
     def _work(self, forward: Forward) -> str:
@@ -542,23 +530,28 @@
         self._waits_no_more(forward)
         if engine.strikes:  # back: what fell silent is likely cold, whether or not the list has said so
             engine.strikes = 0
-            engine.cold_until = max(engine.cold_until, now + self.warm_within)
+            self._cold(engine, now + self.warm_within)
 
     # Cold engines.
 
+    def _cold(self, engine: Engine, until: int) -> None:
+        if until > engine.cold_until:
+            engine.cold_until, engine.cold_at = until, self.host.now()
+            engine.cold_credit = self.chance.random()
+
     def _cold_room(self, engine: Engine, now: int) -> bool:
         """Rule 4 without word from the other routers: each sends a cold engine at most a fixed part of what a
-        warm one finishes for it, so all together send at most that part of what a warm one can do. Below
+        warm one finishes for it, so all together send at most that part of what a warm one can do. With many
+        routers that is less than one a window each: it is saved up, from a start drawn by chance. Below
         that, the engine's own reports decide: one that says reqs wait there gets nothing more."""
         if now >= engine.cold_until:
             return True
-        while engine.cold_sends and engine.cold_sends[0] <= now - self.window:
-            engine.cold_sends.popleft()
-        report = self._word(engine)
-        if report and report.queued:
-            return False
         usual = self.finished[engine.role] / max(self.warm[engine.role], 1)
-        return len(engine.cold_sends) < max(1, int(usual * self.cold_part))
+        part = max(usual * self.cold_part, self.cold_least)
+        earned = (now - engine.cold_at) / self.window * part
+        engine.cold_credit, engine.cold_at = min(engine.cold_credit + earned, max(part, 1.0)), now
+        report = self._word(engine)
+        return engine.cold_credit >= 1 and not (report and report.queued)
 
     def _turn_of_window(self) -> None:
         now = self.host.now()
@@ -593,10 +586,17 @@
         engine.unread += unread
         engine.out[req.demand.id, forward.number] = forward
         if now < engine.cold_until:
-            engine.cold_sends.append(now)
+            engine.cold_credit -= 1
         req.out = forward
         req.forwards += 1
         self.host.forward(req.demand.id, engine.name, req.due_at)
+        if self.probes:
+            # Some engines of the zone are asked for later reqs: probes grow with reqs, not routers x engines.
+            near = [e for e in self.readers + self.writers if e.zone == engine.zone and e != engine]
+            for asked in (engine, *self.chance.sample(near, min(len(near), PROBES))):
+                if now - asked.probed_at >= PROBE_EVERY:
+                    asked.probed_at = now
+                    self.host.probe(asked.name)
 
     def _unload(self, forward: Forward) -> None:
         forward.engine.tokens -= forward.tokens
--- a/lifthead/state.py
+++ b/lifthead/state.py
@@ -1,6 +1,5 @@
 """Records that the decision module keeps, and the mechanics of its histograms. Nothing here decides."""
 
-from collections import deque
 from dataclasses import dataclass, field
 
 from lifthead.interface import Demand, Effect, EndpointGroup, LoadReport
@@ -78,7 +77,8 @@
     heard_at: int = 0
     probed_at: int = 0
     cold_until: int = 0
-    cold_sends: deque[int] = field(default_factory=deque)
+    cold_at: int = 0  # when the credit below was counted
+    cold_credit: float = 0.0  # forwards that this router may send while it is cold
     kept: dict[str, int] = field(default_factory=dict)  # tokens of a session or beginning, latest last
     strikes: int = 0
     failures: int = 0  # connections to it that failed since its last first answer
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -260,6 +260,7 @@
 @pytest.mark.parametrize("queued", [0.0, 4.0])
 def test_a_cold_engine_that_says_reqs_wait_gets_no_more(queued):
     bench = Bench(entry("R1"), entry("W1", up_since=99_000_000))
+    bench.clock += 4_000_000
     req_id = bench.req()
     bench.end(req_id, Ending.READ)
     bench.begin(req_id)
@@ -376,6 +377,7 @@
 
 def test_with_every_engine_cold_some_work_is_taken_and_the_rest_pushed_back():
     bench = Bench(*(entry(name, up_since=99_000_000) for name in ("R1", "W1", "W2")))
+    bench.clock += 4_000_000
     reqs = [bench.req(100, session=str(n)) for n in range(9)]
     taken = [req_id for req_id in reqs if bench.sent.get(req_id)]
     assert 1 <= len(taken) <= 3
@@ -453,3 +455,25 @@
     assert 1 < bench.router._pressure(bench.router.engines["W1"]) < 2
     bench.router.on_probed("R1", report(queued=4.0, slots_used=0.5, memory_used=0.1))
     assert bench.router._backlog(bench.router.engines["R1"]) > 4000
+
+
+def test_all_routers_together_send_a_cold_engine_what_it_can_take():
+    total = 0
+    for seed in range(100):
+        bench = Bench(entry("W1", up_since=99_900_000), entry("W2"), routers=100, seed=seed)
+        for number in range(2):  # one window; a warm engine gets some 100 in it
+            bench.serve(100, session=str(number))
+            bench.clock += 1_000_000
+        total += sum(sent[-1] == "W1" for sent in bench.sent.values())
+    assert 0 < total <= 100 * 0.25 * 2.5
+
+
+@pytest.mark.parametrize("engines", [10, 60])
+def test_probes_grow_with_reqs_and_not_with_engines(engines):
+    bench = Bench(
+        entry("R0"), *(entry(f"W{n}") for n in range(engines)), reports_on_probe=True, may_probe=True
+    )
+    bench.pass_time(2_000_000)
+    assert not bench.calls("probe")
+    bench.serve(6000)
+    assert 0 < len(bench.calls("probe")) <= 2 * (control.PROBES + 1)
