An engine that turned a req away gets none of its endpoint group for 8 s; writers past 0.8 leave the draw

Told apart from full engines by their reports, which show room, and by the group. Now the group leaves such an engine for 8 s, unless no other is left. Also covers engines really full.

--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -25,7 +25,8 @@
 ANEW = 4  # what a prompt token to be read counts against one that waits already
 HOT_TIMES = 2.0  # a reader is passed over when it costs this many times the least of its peers ...
 HOT_SLACK = 8192  # ... and this many tokens besides
-UNEVEN = 1.5  # a zone takes this many times the part of all work that its part of the engines says
+UNEVEN = 1.3  # a zone writes this many times the part of all work that its part of the writers says ...
+READERS_MORE = 1.5  # ... and reads this many times its part of the readers: there is more room to read
 OUT = 0.25  # part of its reads that a zone may send out over its cells' links, which are narrow
 BUSY = 0.6  # a writer that holds this share of its memory reads nothing itself
 FULL = 0.8  # a writer that holds this share of its memory does not stand in for a reader
@@ -42,6 +43,7 @@
 PATIENCE = 5.0  # an engine may be silent for this many times what nine in ten such forwards take
 TRIAL_AFTER = 1_000_000  # a suspect's first trial; twice as long after each further strike
 TRIAL_LIMIT = 8_000_000
+BARRED_FOR = 8_000_000  # an engine that turned a req away gets none of its endpoint group for so long
 FRESH = 4_000_000  # age to which a load report is believed
 PROBE_EVERY = 300_000  # where reports come on probes alone, an engine is asked so often at most
 PROBES = 4  # others of its zone that are asked along with each engine that a req goes to
@@ -161,7 +163,7 @@
         even = dict.fromkeys(sorted(zones), 1 / len(zones))
         reads, writes = self._parts(self.readers, "zone"), self._parts(self.writers, "zone")
         reads = {zone: min(part, writes.get(zone, 0.0) + OUT * part) for zone, part in reads.items()}
-        self.reads_here, self.writes_here = Split(even, reads, UNEVEN), Split(even, writes, UNEVEN)
+        self.reads_here, self.writes_here = Split(even, reads, READERS_MORE), Split(even, writes, UNEVEN)
         self.between_zones = Split(self.reads_here.taken, writes, UNEVEN)
         for zone in even:
             inside = [[e for e in role if e.zone == zone] for role in (self.readers, self.writers)]
@@ -176,7 +178,6 @@
         return parts
 
     def on_engines_unavailable(self) -> None:
-        """Where news must be asked for, it is asked for again at the turn of the window."""
         self.ask_again = True
 
     # What can happen to a req.
@@ -270,6 +271,9 @@
         req.tried.add(name)
         if ending is Ending.BUSY and note == 1:
             req.held_at = None  # the state is gone: read anew if there is time
+        elif ending is Ending.BUSY:
+            # Left to others for a while, so that not every req finds out anew. Covers full, throttling engines.
+            forward.engine.barred[req.demand.group] = now + BARRED_FOR
         if forward.reading or ending in (Ending.BUSY, Ending.UNREACHABLE, Ending.NOT_SENT):
             return self._route(req)  # proven not run
         if req.may_have_run is None:
@@ -344,9 +348,8 @@
         return pace.quantile(0.75) * (self._backlog(engine) + self._unread(engine, req) + OVERHEAD) / 1000
 
     def _hopeless(self, req: Req, home: str, wait: float) -> bool:
-        """Whether the first token can't be expected in time: writers whose memory is asked for beyond all
-        they have let go of it as their streams end, and a reader's backlog goes at the usual pace. Work that
-        would come too late is not begun: it would be waste, and make others late."""
+        """Whether the first token can't be expected in time: writers let go of memory as their streams end,
+        a backlog goes at the usual pace. What would come too late is waste, and makes others late."""
         writers = [engine for engine in self._usable(self.writers, req) if engine.zone == home]
         if writers:
             beyond = sum(map(self._pressure, writers)) / len(writers) - 1
@@ -355,8 +358,7 @@
         return wait > HOPELESS * req.wanted_in * (OVER_SHARE if req.over_share else 1)
 
     def _over_share(self, tenant: str, now: int) -> bool:
-        """Counts a req of this tenant against its share, with what was left unused in the last few
-        windows."""
+        """Counts a req of this tenant against its share, and what was left unused lately."""
         if tenant not in self.share:
             return False
         left, then = self.within[tenant]
@@ -372,7 +374,7 @@
             usable = [engine for engine in usable if engine.role == "both"]
         # Exception, a full writer: one that has no room leaves the draw while others in the zone, or else
         # anywhere, have some. Covers what own tokens don't show: others' reqs, few slots, slow streams.
-        room = [engine for engine in usable if self._pressure(engine) < 1]
+        room = [engine for engine in usable if self._pressure(engine) < FULL]
         in_zone = [e for e in room if e.zone == zone] or room
         in_zone = in_zone or [e for e in usable if e.zone == zone] or usable
         if not in_zone:
@@ -390,9 +392,8 @@
         now = self.host.now()
         up = [engine for engine in engines if engine.failures <= 1]
         well = {engine.name for engine in up if not engine.strikes and not self._silent(engine, now)}
-        # When most of a role looks bad at once, that says nothing about single engines: use them all.
-        trust_all = len(well) * 2 < len(up)
-        return [
+        trust_all = len(well) * 2 < len(up)  # most of a role looking bad says nothing of single engines
+        allowed = [
             engine
             for engine in engines
             if engine.name not in req.tried
@@ -401,6 +402,7 @@
             and self._cold_room(engine, now)
             and (engine.name in well or self._trial(engine, req, now) or trust_all and engine in up)
         ]
+        return [e for e in allowed if now >= e.barred.get(req.demand.group, 0)] or allowed
 
     def _in_group(self, engine: Engine, req: Req, now: int) -> bool:
         """Rule 2 for keyed reqs: once one may have run, only engines that drop its repeat, while they do."""
@@ -415,8 +417,8 @@
         return engine.tokens / ((engine.memory or 1) * engine.weight)
 
     def _pressure(self, engine: Engine) -> float:
-        """Share of a writer's memory or slots that is held, past 1 where reqs queue. The engine's fresh word
-        counts in full, with what this router has sent since; else this router's own tokens do."""
+        """Share of a writer's memory or slots that is held, past 1 where reqs queue: the engine's fresh word
+        with what this router has sent since, or this router's own tokens."""
         memory, report = engine.memory or 1, engine.report
         own = engine.tokens / memory
         if report is None or self.host.now() - engine.report_at > FRESH:
@@ -453,8 +455,8 @@
         return max(req.prompt - known, 1)
 
     def _keeps(self, engine: Engine, req: Req, unread: int, found: int) -> None:
-        """Notes what an engine has read. One that found much less than expected has lost its texts: a flush,
-        an untold restart, a memory too small. Then nothing counts as kept until it is read there again."""
+        """Notes what an engine has read. One that found much less than expected has lost its texts (a flush,
+        an untold restart, a memory too small): nothing counts as kept until it is read there again."""
         kept = engine.kept
         if found < (req.prompt - unread) / 2:
             kept.clear()
@@ -486,9 +488,8 @@
         return next((forward for forward in engine.out.values() if not forward.written_off), None)
 
     def _look_round(self) -> None:
-        """What a silent engine holds is called off and tried elsewhere, in time for an answer; what must not
-        run twice stays there and hopes. A busy engine is not called off from, nor one while most of its role
-        are silent: work would only be thrown from one to the next."""
+        """What a silent engine holds is called off and tried elsewhere; what must not run twice stays there
+        and hopes. While most of a role are silent, work would only be thrown from one to the next."""
         now = self.host.now()
         silent = [engine for engine in self.readers + self.writers if self._silent(engine, now)]
         for engine in silent:
@@ -618,8 +619,7 @@
         self._let_go(req)
 
     def _let_go(self, req: Req) -> None:
-        """Rule 5: no answer frees what is held, so it is freed with each; what is out is called off if
-        allowed."""
+        """Rule 5: no answer frees what is held, so it is freed with each; what is out is called off."""
         if req.out and not req.began and self.may_cancel:
             self.host.cancel(req.demand.id, req.out.number)
         self.host.free_state(req.demand.id)
--- a/lifthead/state.py
+++ b/lifthead/state.py
@@ -81,6 +81,7 @@
     cold_credit: float = 0.0  # forwards that this router may send while it is cold
     kept: dict[str, int] = field(default_factory=dict)  # tokens of a session or beginning, latest last
     strikes: int = 0
+    barred: dict[str, int] = field(default_factory=dict)  # endpoint groups that it turned away, until when
     failures: int = 0  # connections to it that failed since its last first answer
     trial_at: int = 0  # while suspect: when the next trial may go
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -477,3 +477,19 @@
     assert not bench.calls("probe")
     bench.serve(6000)
     assert 0 < len(bench.calls("probe")) <= 2 * (control.PROBES + 1)
+
+
+@pytest.mark.parametrize(
+    ("group", "waited", "comes"), [("chat", 0, False), ("mark", 0, True), ("chat", 9, True)]
+)
+def test_an_engine_that_turns_a_group_away_is_left_alone_by_that_group_for_a_while(group, waited, comes):
+    bench = Bench(entry("R1"), entry("W1"), entry("W2"))
+    for number in range(20):
+        if bench.last(bench.req(10, session=str(number))) == "W1":
+            bench.end(number + 1, Ending.BUSY)
+            break
+    bench.clock += waited * 1_000_000
+    later = {bench.last(bench.serve(10, group=group, session=f"x{n}")) for n in range(20)}
+    assert ("W1" in later) == comes
+    bench.router.on_engines([entry("W2", readiness="gone"), entry("R1", readiness="gone")], whole_list=False)
+    assert bench.last(bench.req(10)) == "W1"  # better than none
