--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -272,7 +272,7 @@
         if ending is Ending.BUSY and note == 1:
             req.held_at = None  # the state is gone: read anew if there is time
         elif ending is Ending.BUSY:
-            # Left to others for a while, so that not every req finds out anew. Covers full, throttling engines.
+            # Left alone for a while, so that not every req finds out anew. Covers full, throttling engines.
             forward.engine.barred[req.demand.group] = now + BARRED_FOR
         if forward.reading or ending in (Ending.BUSY, Ending.UNREACHABLE, Ending.NOT_SENT):
             return self._route(req)  # proven not run
