Paces forgotten by time, so that a jam that is over pushes nothing back; one failed connection is enough

Cause: paces learnt in the jam; what is pushed back measures nothing new, and with 50 reqs a router 400 measurements never age. Told apart from overload by the forwards a req (0.7) and the times.

--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -39,7 +39,8 @@
 
 # Health.
 OVERHEAD = 1000  # tokens' worth of time that any first answer takes, however short its prompt
-ENOUGH = 12  # measurements before a histogram is believed
+ENOUGH = 6  # measurements before a histogram is believed
+FORGET = 8  # windows after which paces count half
 PATIENCE = 5.0  # an engine may be silent for this many times what nine in ten such forwards take
 TRIAL_AFTER = 1_000_000  # a suspect's first trial; twice as long after each further strike
 TRIAL_LIMIT = 8_000_000
@@ -254,9 +255,8 @@
         if ending is Ending.DONE:
             self.streams.add(took - forward.first_took)
         if ending in (Ending.UNREACHABLE, Ending.BROKEN):
-            # One failed connection says little, a second with no answer in between that the engine is down.
-            # A time-out says nothing of its engine: it is the client's patience that ended.
-            forward.engine.failures += 1
+            # One broken connection says little, one that can't be made that the engine is down.
+            forward.engine.failures += 1 + (ending is Ending.UNREACHABLE)
             if forward.engine.failures > 1:
                 self._strike(forward.engine, now)
         if final or req.answered or req.began:
@@ -354,7 +354,6 @@
         if writers:
             beyond = sum(map(self._pressure, writers)) / len(writers) - 1
             wait += max(beyond, 0) * self.streams.quantile(0.5)
-        # What is beyond a tenant's share is worth little, so it goes first, before others have to wait.
         return wait > HOPELESS * req.wanted_in * (OVER_SHARE if req.over_share else 1)
 
     def _over_share(self, tenant: str, now: int) -> bool:
@@ -372,8 +371,8 @@
         usable = self._usable(self.writers, req)
         if reads and not self.writers_read:
             usable = [engine for engine in usable if engine.role == "both"]
-        # Exception, a full writer: one that has no room leaves the draw while others in the zone, or else
-        # anywhere, have some. Covers what own tokens don't show: others' reqs, few slots, slow streams.
+        # Exception, a full writer: it leaves the draw while others in the zone, or else anywhere, have room.
+        # Covers what own tokens don't show: others' reqs, few slots, slow streams.
         room = [engine for engine in usable if self._pressure(engine) < FULL]
         in_zone = [e for e in room if e.zone == zone] or room
         in_zone = in_zone or [e for e in usable if e.zone == zone] or usable
@@ -388,7 +387,7 @@
         return other if self._load(kept) > HEAVIER * self._load(other) + HEAVIER_BY else kept
 
     def _usable(self, engines: list[Engine], req: Req) -> list[Engine]:
-        """Engines that may get this req now: allowed by the rules, not tried yet, well as far as is told."""
+        """Engines that may get this req now: allowed by the rules, not tried yet, well so far as is told."""
         now = self.host.now()
         up = [engine for engine in engines if engine.failures <= 1]
         well = {engine.name for engine in up if not engine.strikes and not self._silent(engine, now)}
@@ -450,8 +449,7 @@
 
     def _unread(self, engine: Engine, req: Req) -> int:
         """Prompt tokens that the engine is expected to have to read: those past the text that it keeps."""
-        kept = engine.kept
-        known = max(kept.get(req.demand.session, 0), kept.get(req.demand.beginning, 0))
+        known = max(engine.kept.get(req.demand.session, 0), engine.kept.get(req.demand.beginning, 0))
         return max(req.prompt - known, 1)
 
     def _keeps(self, engine: Engine, req: Req, unread: int, found: int) -> None:
@@ -559,6 +557,8 @@
         if self.ask_again:
             self.ask_again = False
             self.host.watch_engines()
+        for pace in self.pace.values() if now // self.window % FORGET == 0 else ():
+            pace.halve()  # a jam that is over is forgotten: what is pushed back measures nothing new
         for role in self.warm:
             ready = self.readers if role == "read" else self.writers
             self.warm[role] += sum(e.role == role and now >= e.cold_until for e in ready)
@@ -608,7 +608,7 @@
             forward.engine.unread -= forward.unread
 
     def _give_up(self, req: Req) -> None:
-        """The final answer for a req that no engine is left for: pushed back where a repeat does no harm."""
+        """The final answer where no engine is left: pushed back where a repeat does no harm."""
         req.answered = True
         ran = req.may_have_run is not None
         harmless = req.effect is Effect.REPLAYABLE or not ran
--- a/lifthead/state.py
+++ b/lifthead/state.py
@@ -19,8 +19,11 @@
         self._counts[min(scaled.bit_length(), len(self._counts) - 1)] += 1
         self.total += 1
         if self.total >= self._keep:
-            self._counts = [count / 2 for count in self._counts]
-            self.total /= 2
+            self.halve()
+
+    def halve(self) -> None:
+        self._counts = [count / 2 for count in self._counts]
+        self.total /= 2
 
     def quantile(self, part: float) -> int:
         """The value below which this part of the counts lies, by straight lines inside bins; 0 if empty."""
