--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -40,7 +40,7 @@
 # Health.
 OVERHEAD = 1000  # tokens' worth of time that any first answer takes, however short its prompt
 ENOUGH = 6  # measurements before a histogram is believed
-FORGET = 8  # windows after which paces count half
+FORGET = 16  # windows after which paces count half
 PATIENCE = 5.0  # an engine may be silent for this many times what nine in ten such forwards take
 TRIAL_AFTER = 1_000_000  # a suspect's first trial; twice as long after each further strike
 TRIAL_LIMIT = 8_000_000
