--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -373,7 +373,7 @@
             usable = [engine for engine in usable if engine.role == "both"]
         # Exception, a full writer: it leaves the draw while others in the zone, or else anywhere, have room.
         # Covers what own tokens don't show: others' reqs, few slots, slow streams.
-        room = [engine for engine in usable if self._pressure(engine) < FULL]
+        room = [engine for engine in usable if self._pressure(engine) < 1]
         in_zone = [e for e in room if e.zone == zone] or room
         in_zone = in_zone or [e for e in usable if e.zone == zone] or usable
         if not in_zone:
