--- /dev/null
+++ b/lifthead/cli.py
@@ -0,0 +1,284 @@
+"""The `lifthead` command. Thin: each sub-command calls its package and prints what comes back.
+
+Exit codes: 0 done; 1 the answer is no (a rule broken, a router dead); 2 bad use or bad settings.
+"""
+
+import asyncio
+import secrets
+import sys
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+import typer
+from rich.console import Console
+from rich.table import Table
+
+from lifthead.deployment import derive, script
+from lifthead.deployment.fleet import Fleet
+
+app = typer.Typer(no_args_is_help=True, add_completion=False, help="A router for language-model servers.")
+RunDir = Annotated[Path, typer.Option("--run", help="Run directory: admin sockets and records.")]
+AsJson = Annotated[bool, typer.Option("--json", help="One JSON document, for scripts.")]
+DEFAULT_RUN = Path(".lifthead")
+
+
+def main() -> None:
+    app()
+
+
+def _fleet(path: Path) -> Fleet:
+    try:
+        return script.read(path)
+    except script.ScriptError as problem:
+        typer.echo(str(problem), err=True)
+        raise typer.Exit(2) from None
+
+
+def _json(value: Any) -> None:
+    typer.echo(msgspec.json.encode(value).decode())
+
+
+def _table(rows: list[dict[str, Any]], title: str) -> None:
+    table = Table(title=title, title_justify="left")
+    for column in rows[0] if rows else ():
+        table.add_column(column.replace("_", " "))
+    for row in rows:
+        table.add_row(
+            *(
+                "-" if value is None else f"{value:.1f}" if isinstance(value, float) else str(value)
+                for value in row.values()
+            )
+        )
+    Console().print(table)
+
+
+@app.command()
+def check(file: Path, as_json: AsJson = False) -> None:
+    """Print what a settings script says, and the figures that follow from it."""
+    fleet = _fleet(file)
+    derived = {name: msgspec.to_builtins(derive.deployment(fleet, name, 0)) for name in fleet.routers}
+    if as_json:
+        return _json({"fleet": fleet, "derived": derived})
+    for title, part in (
+        ("engines", fleet.engines),
+        ("endpoint groups", fleet.groups),
+        ("tenants", fleet.tenants),
+        ("routers", fleet.routers),
+    ):
+        rows = [msgspec.to_builtins(each) for each in part.values()]
+        for row in rows:
+            row.pop("keys", None)
+        _table(rows, title)
+    _table(
+        [
+            {"figure": key, "value": value}
+            for key, value in next(iter(derived.values())).items()
+            if not isinstance(value, dict)
+        ],
+        "what a router starts with",
+    )
+    return None
+
+
+@app.command()
+def serve(
+    file: Path,
+    router: Annotated[
+        str, typer.Option(help="Which router() of the file to be; the only one if left out.")
+    ] = "",
+    engine_list: Annotated[
+        str, typer.Option("--list", help="URL of a pushed list; else the file's engines.")
+    ] = "",
+    run: RunDir = DEFAULT_RUN,
+    log: Annotated[str, typer.Option(help="File for the log; else standard error.")] = "",
+    seed: Annotated[int, typer.Option(help="Seed of the decisions' chance; 0: drawn.")] = 0,
+) -> None:
+    """Run one router until SIGTERM; then answer all it holds and exit 0."""
+    from lifthead.daemon import serve as daemon
+
+    fleet = _fleet(file)
+    name = router or (next(iter(fleet.routers)) if len(fleet.routers) == 1 else "")
+    if name not in fleet.routers:
+        typer.echo(f"--router: expected one of {list(fleet.routers)}", err=True)
+        raise typer.Exit(2)
+    asyncio.run(
+        daemon.serve(fleet, name, engine_list, run, seed or secrets.randbits(63), daemon.logger(log or None))
+    )
+
+
+@app.command()
+def engine(
+    file: Path,
+    name: str,
+    address: Annotated[
+        str, typer.Option(help="Where to listen; port 0: the system chooses.")
+    ] = "127.0.0.1:0",
+    cold: Annotated[bool, typer.Option(help="Start cold.")] = False,
+    record: Annotated[str, typer.Option(help="File for the traffic record.")] = "",
+    seed: int = 1,
+) -> None:
+    """Run one stand-in engine of a settings script until SIGTERM."""
+    from lifthead.standins import engine as standin
+
+    fleet = _fleet(file)
+    if name not in fleet.engines:
+        typer.echo(f"expected one of {list(fleet.engines)}", err=True)
+        raise typer.Exit(2)
+    import os
+
+    def say(at: str) -> None:
+        print(msgspec.json.encode({"name": name, "address": at, "pid": os.getpid()}).decode(), flush=True)
+
+    asyncio.run(standin.run(fleet, name, address, cold, record or None, seed, say))
+
+
+def _ask(run: Path, question: dict[str, Any], only: str = "") -> dict[str, Any]:
+    from lifthead.fleet import admin
+
+    paths = {name: path for name, path in admin.sockets(run).items() if not only or name == only}
+    if not paths:
+        typer.echo(
+            f"{run}: no router{f' {only!r}' if only else ''} there, expected its admin socket NAME.sock",
+            err=True,
+        )
+        raise typer.Exit(2)
+    return asyncio.run(admin.ask_all(paths, question))
+
+
+def _one(run: Path, name: str, question: dict[str, Any], as_json: bool) -> None:
+    said = _ask(run, question, name)[name]
+    if said is None:
+        typer.echo(f"{name}: dead, or it does not answer", err=True)
+        raise typer.Exit(1)
+    _json(said) if as_json else _table([said], name)
+
+
+@app.command()
+def routers(run: RunDir = DEFAULT_RUN, as_json: AsJson = False) -> None:
+    """Each router and its state; exit 1 if one is dead."""
+    said = _ask(run, {"ask": "state"})
+    rows = [{"name": name, "state": "dead"} if one is None else one for name, one in said.items()]
+    if as_json:
+        _json(rows)
+    else:
+        shown = ("name", "zone", "state", "reqs", "connections", "engines", "list_age_s", "pid", "base_url")
+        _table([{key: row.get(key) for key in shown} for row in rows], "routers")
+    if any(one is None for one in said.values()):
+        raise typer.Exit(1)
+
+
+@app.command()
+def engines(
+    run: RunDir = DEFAULT_RUN,
+    router: Annotated[str, typer.Option(help="Only this router's view.")] = "",
+    as_json: AsJson = False,
+) -> None:
+    """Each router's view of the engines."""
+    said = _ask(run, {"ask": "engines"}, router)
+    if as_json:
+        return _json(said)
+    for name, rows in said.items():
+        _table(rows or [], f"{name} {'(dead)' if rows is None else ''}")
+    return None
+
+
+@app.command()
+def drain(name: str, run: RunDir = DEFAULT_RUN, undo: bool = False, as_json: AsJson = False) -> None:
+    """Have a router take no more reqs; balancers are told `drain`."""
+    _one(run, name, {"ask": "drain", "undo": undo}, as_json)
+
+
+@app.command()
+def stop(name: str, run: RunDir = DEFAULT_RUN, as_json: AsJson = False) -> None:
+    """Have a router answer all it holds and exit."""
+    _one(run, name, {"ask": "stop"}, as_json)
+
+
+@app.command()
+def up(file: Path, run: RunDir = DEFAULT_RUN, seed: int = 1, as_json: AsJson = False) -> None:
+    """Start stand-in engines, a pushed list and the routers of a script; print the base URLs; run until SIGTERM."""
+    import signal
+
+    from lifthead.standins.stage import Stage
+
+    async def hold() -> None:
+        fleet = _fleet(file)
+        run.mkdir(parents=True, exist_ok=True)
+        stage, over = Stage(fleet, file.resolve(), run, seed), asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, over.set)
+        try:
+            await stage.start()
+            line = stage.line()
+            (run / "up.json").write_bytes(msgspec.json.encode(line))
+            if as_json:
+                print(msgspec.json.encode(line).decode(), flush=True)
+            else:
+                _table(line["routers"], "routers")
+                _table(line["engines"], "engines")
+            await over.wait()
+            await stage.close()
+        finally:
+            await stage.abandon()
+
+    asyncio.run(hold())
+
+
+@app.command()
+def day(
+    file: Path,
+    out: Annotated[Path, typer.Option(help="Directory for the traffic records.")],
+    seed: int = 1,
+    as_json: AsJson = False,
+) -> None:
+    """Play a scripted day on real processes and check the rules; exit 1 if one is broken."""
+    from lifthead.standins import day as days
+
+    fleet = _fleet(file)
+    try:
+        summary = asyncio.run(days.play(fleet, file, out, seed))
+    except ValueError as problem:
+        typer.echo(f"{file}: {problem}", err=True)
+        raise typer.Exit(2) from None
+    _json(summary) if as_json else _table(
+        [{"what": key, "figure": str(value)} for key, value in summary.items()], f"{file.name}, seed {seed}"
+    )
+    if summary["breaches"]:
+        raise typer.Exit(1)
+
+
+@app.command()
+def verify(directory: Path, as_json: AsJson = False) -> None:
+    """Check the five rules from a day's traffic records alone; exit 1 if one is broken."""
+    from lifthead.standins import verify as checker
+
+    try:
+        traffic = checker.read(directory)
+        found = checker.breaches(traffic)
+    except (OSError, KeyError) as problem:
+        typer.echo(f"{directory}: not a day's records: {problem!r}", err=True)
+        raise typer.Exit(2) from None
+    counts = {str(rule): sum(breach.rule == rule for breach in found) for rule in range(1, 6)}
+    if as_json:
+        _json(
+            {
+                "reqs": len(traffic.asks),
+                "forwards": sum(map(len, traffic.forwards.values())),
+                "breaches": {rule: count for rule, count in counts.items() if count},
+            }
+        )
+    else:
+        for breach in found:
+            typer.echo(f"rule {breach.rule}, {breach.req}: {breach.why}")
+            for line in breach.lines:
+                typer.echo(f"    {msgspec.json.encode(line).decode()}")
+        _table(
+            [{"rule": rule, "breaches": count} for rule, count in counts.items()], f"{len(traffic.asks)} reqs"
+        )
+    if found:
+        raise typer.Exit(1)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -222,12 +222,13 @@
         writer = self._draw(req, zone, req.held_at.cell, reads=False)
         return self._forward(req, writer, "fetch") if writer else self._give_up(req)
 
-    def on_begun(self, req_id: int, number: int, took: int) -> None:
-        """The answer streams: it has no deadline any more, and weighs until it ends."""
+    def on_begun(self, req_id: int, number: int, took: int, streamed: bool = True) -> None:
+        """The answer streams: it has no deadline any more, and weighs until it ends. One that is gathered for
+        a client who wants it whole keeps its deadline, and may be begun anew."""
         req = self.reqs.get(req_id)
         if req is None or req.out is None or req.out.number != number:
             return
-        req.began, req.held_at = True, None
+        req.began, req.held_at = streamed, None
         self._first_answer(req.out, took)
 
     def on_ended(
--- /dev/null
+++ b/lifthead/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""One router process: hosts control.Router, owns its sockets, timers, signals, logs and metrics."""
--- /dev/null
+++ b/lifthead/daemon/host.py
@@ -0,0 +1,484 @@
+"""The one caller of control.Router in the daemon: news from sockets becomes calls, its calls become tasks.
+
+Boundaries kept here:
+- the module's calls return at once and its news comes on a later turn of the loop, in order, from one loop;
+- every final answer passes `_answered`, which makes a second one impossible;
+- a forward's connection is closed before its ending is told, so the next forward finds it out no more;
+- deadlines are the module's; `stalled_for` is only a last guard on a begun stream, and it logs.
+"""
+
+import asyncio
+import contextlib
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+from lifthead import control
+from lifthead.chat import codec as chat
+from lifthead.chat.codec import Asked, Gathered
+from lifthead.chat.server import JSON, Reply
+from lifthead.daemon.gauges import Gauges
+from lifthead.deployment.fleet import Limits
+from lifthead.engines import codec
+from lifthead.engines.codec import ENDINGS, ListNews, Sight, StrangeError
+from lifthead.engines.link import Connection, Link
+from lifthead.http1 import HttpError
+from lifthead.interface import Demand, Deployment, Effect, Ending, EngineEntry, LoadReport
+
+ASK_WITHIN = 1.0  # seconds that letting go or a probe may take; the module is told nothing of a lost one
+
+
+def now() -> int:
+    return time.monotonic_ns() // 1000
+
+
+@dataclass(slots=True)
+class Out:
+    """A forward that is out."""
+
+    number: int
+    engine: str
+    reading: bool
+    sent_at: int
+    task: asyncio.Task | None = None
+    started: bool = False
+    called_off: bool = False
+
+
+@dataclass(slots=True)
+class InHand:
+    """A req that was taken and whose forwards are not all over."""
+
+    id: int
+    name: str
+    asked: Asked
+    reply: Reply
+    taken_at: int
+    out: Out | None = None
+    forwards: int = 0
+    handle: Any = None  # of the state that waits at a reader
+    held_at: str = ""
+    held_by: str = ""  # the forward that left it there
+    begun: bool = False
+    first_at: int = 0
+    ended_at: int = 0
+    ended: str = ""  # "done", "pushed back", "aborted" or "left": exactly one, once
+    trail: list[str] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Peer:
+    """An engine as the host knows it: how to get there, and since when it may get nothing new."""
+
+    link: Link
+    kind: str
+    readiness: str
+    told_at: int
+
+
+class Host:
+    def __init__(
+        self,
+        name: str,
+        deployment: Deployment,
+        limits: Limits,
+        tasks: asyncio.TaskGroup,
+        gauges: Gauges,
+        log: Any,
+        grace: int,
+    ) -> None:
+        self.name = name
+        self.limits = limits
+        self.gauges = gauges
+        self.in_hand: dict[int, InHand] = {}
+        self.peers: dict[str, Peer] = {}
+        self.listed_at = 0  # when a list of engines last came; 0: never
+        self._tasks = tasks
+        self._log = log
+        self._grace = grace
+        self._next = 1
+        self._roles = deployment.roles
+        self._effects = {group.name: group.effect for group in deployment.groups.values()}
+        self._wall = time.time_ns() // 1000 - now()
+        self._loop = asyncio.get_running_loop()
+        self._timers: set[asyncio.TimerHandle] = set()
+        self._stopped = False
+        self.empty = asyncio.Event()
+        self.empty.set()
+        self.router = control.Router(self, deployment)
+
+    # What comes in.
+
+    def on_list(self, news: ListNews) -> None:
+        """A push of the list of engines. What is left out of a whole list counts as gone."""
+        at = self.listed_at = now()
+        entries = []
+        for listed in news.engines:
+            known = self.peers.get(listed.name)
+            if known is None or known.link.address != listed.address:
+                if known:
+                    known.link.close()
+                link = Link(listed.address, self.limits.connect_within / 1e6)
+                self.peers[listed.name] = Peer(link, listed.kind, listed.readiness, at)
+            elif known.readiness != listed.readiness:
+                known.readiness, known.told_at = listed.readiness, at
+            up_since = max(listed.started_at - self._wall, 1) if listed.started_at else 0
+            entries.append(
+                EngineEntry(
+                    listed.name,
+                    listed.zone,
+                    listed.cell,
+                    listed.kind,
+                    listed.weight,
+                    up_since,
+                    listed.readiness,
+                )
+            )
+        if news.whole:
+            named = {listed.name for listed in news.engines}
+            for name, peer in self.peers.items():
+                if name not in named and peer.readiness != "gone":
+                    peer.readiness, peer.told_at = "gone", at
+        self.router.on_engines(entries, news.whole)
+
+    def on_list_lost(self) -> None:
+        self.router.on_engines_unavailable()
+
+    @property
+    def ready_writers(self) -> int:
+        return sum(
+            peer.readiness == "ready" and self._roles.get(peer.kind, "both") != "read"
+            for peer in self.peers.values()
+        )
+
+    async def take(self, asked: Asked, reply: Reply) -> None:
+        """A client's req, from its demand to the end of its answer."""
+        req_id, self._next = self._next, self._next + 1
+        hand = InHand(req_id, f"{self.name}-{req_id}", asked, reply, now())
+        self.in_hand[req_id] = hand
+        self.empty.clear()
+        self.gauges.taken(asked.group)
+        reply.left = lambda: self._left(hand)
+        self.router.on_req(
+            Demand(
+                req_id,
+                asked.group,
+                asked.tenant,
+                asked.budget,
+                asked.prompt,
+                asked.max_out,
+                asked.session,
+                asked.beginning,
+                asked.beginning_len,
+                0,
+                asked.again,
+            )
+        )
+        await reply.finished.wait()
+        self._forget(hand)
+
+    def _left(self, hand: InHand) -> None:
+        """The client went away: what is out for it is called off, what is held is let go of."""
+        if not self._answered(hand, "left"):
+            return
+        self.router.on_expired(hand.id)
+        if hand.begun and hand.out:
+            self.cancel(hand.id, hand.out.number)  # a stream that nobody reads
+
+    # What the module does.
+
+    def now(self) -> int:
+        return now()
+
+    def wake(self, after: int, label: int) -> None:
+        def ring() -> None:
+            self._timers.discard(timer)
+            self.router.on_wake(label)
+
+        timer = self._loop.call_later(max(after, 0) / 1e6, ring)
+        self._timers.add(timer)
+
+    def forward(self, req: int, engine: str, abandon_at: int) -> None:
+        hand = self.in_hand[req]
+        reading = self._roles.get(self.peers[engine].kind, "both") == "read"
+        hand.out = Out(hand.forwards, engine, reading, now())
+        hand.forwards += 1
+        hand.out.task = self._tasks.create_task(self._carry(hand, hand.out, abandon_at))
+
+    def cancel(self, req: int, forward: int) -> None:
+        hand = self.in_hand.get(req)
+        out = hand.out if hand else None
+        if out is None or out.number != forward or out.called_off:
+            return
+        out.called_off = True
+        if out.started and out.task:
+            out.task.cancel()
+
+    def free_state(self, req: int) -> None:
+        hand = self.in_hand.get(req)
+        if hand and hand.handle is not None and hand.out is None:
+            self._release(hand.held_at, hand.held_by)
+            hand.handle = None
+
+    def push_back(self, req: int, hold_off: int) -> None:
+        hand = self.in_hand[req]
+        if self._answered(hand, "pushed back"):
+            headers = {
+                **self._headers(hand),
+                "retry-after": str(-(-hold_off // 1_000_000) or 1),
+                "retry-after-ms": str(hold_off // 1000),
+            }
+            hand.reply.whole(
+                503, chat.error(503, "overloaded", "pushed back: trying again does no harm"), headers
+            )
+
+    def abort(self, req: int) -> None:
+        hand = self.in_hand[req]
+        if self._answered(hand, "aborted"):
+            late = now() - hand.taken_at >= hand.asked.budget * 9 // 10
+            status, code = (504, "deadline") if late else (502, "aborted")
+            said = "aborted: whether it had an effect is not known"
+            headers = {**self._headers(hand), "x-should-retry": "false"}
+            hand.reply.whole(status, chat.error(status, code, said), headers)
+
+    def probe(self, engine: str) -> None:
+        self._tasks.create_task(self._probe(engine))
+
+    def watch_engines(self) -> None:
+        """The list is pushed: its follower asks again by itself."""
+
+    # Carrying a forward.
+
+    async def _carry(self, hand: InHand, out: Out, abandon_at: int) -> None:
+        """From the sending of a forward to the telling of its ending; owns its connection throughout."""
+        out.started = True
+        peer, name = self.peers[out.engine], f"{hand.name}.{out.number}"
+        connection: Connection | None = None
+        sight, note, report = Sight.CALLED_OFF, 0, None
+        try:
+            async with asyncio.timeout_at(abandon_at / 1e6) as limit:
+                if out.called_off:
+                    raise asyncio.CancelledError
+                try:
+                    # A kept connection that its engine closes can't be told from a forward that ran.
+                    may_repeat = out.reading or self._effects[hand.asked.group] is Effect.REPLAYABLE
+                    connection = await peer.link.take(fresh=not may_repeat or out.number > 0)
+                except (OSError, TimeoutError):
+                    sight = Sight.NO_CONNECTION
+                else:
+                    if peer.readiness != "ready" and now() - peer.told_at > self._grace:
+                        sight = Sight.STALE  # guards rule 3 where connecting took longer than the grace
+                    else:
+                        sight, note, report = await self._exchange(hand, out, peer, connection, name, limit)
+        except TimeoutError:
+            sight = Sight.OUT_OF_TIME
+        except asyncio.CancelledError:
+            if not out.called_off:
+                raise  # the process ends
+            sight = Sight.CALLED_OFF
+        except (OSError, EOFError):
+            sight = Sight.CUT
+        except (HttpError, StrangeError) as problem:
+            sight = Sight.STRANGE
+            self._log.warning("strange answer", req=hand.name, engine=out.engine, said=str(problem)[:200])
+        if connection and sight in (Sight.READ, Sight.WRITTEN, Sight.TURNED_AWAY, Sight.STATE_GONE):
+            peer.link.give(connection)
+        elif connection:
+            connection.abort()
+            with contextlib.suppress(Exception, asyncio.CancelledError):
+                await connection.writer.wait_closed()
+        if out.reading and connection and sight not in (Sight.READ, Sight.TURNED_AWAY):
+            # Guards rule 5 where the reader answers after the req was given up.
+            self._release(out.engine, name)
+        self._over(hand, out, sight, note, report)
+
+    async def _exchange(
+        self, hand: InHand, out: Out, peer: Peer, connection: Connection, name: str, limit: asyncio.Timeout
+    ) -> tuple[Sight, int, LoadReport | None]:
+        """Sends a forward and reads its answer: what was seen, tokens found kept, the load told with it."""
+        asked, address = hand.asked, peer.link.address
+        if out.reading:
+            sent = codec.read_req(address, name, asked.client_id, asked.body)
+        else:
+            sent = codec.write_req(address, name, asked.client_id, asked.key, asked.body, hand.handle)
+        out.sent_at = now()
+        await connection.send(sent)
+        head = await connection.head()
+        report = codec.load_report(head.headers)
+        if head.status != 200:
+            await connection.rest()
+            seen = codec.refusal(head)
+            if seen is Sight.STATE_GONE:
+                hand.handle = None
+            return seen, 0, report
+        if out.reading:
+            hand.handle, kept = codec.read_answer(await connection.rest())
+            hand.held_at, hand.held_by = out.engine, name
+            return Sight.READ, kept, report
+        if report:
+            self.router.on_probed(out.engine, report)  # now, not when the stream ends
+        return *await self._stream(hand, out, connection, limit), None
+
+    async def _stream(
+        self, hand: InHand, out: Out, connection: Connection, limit: asyncio.Timeout
+    ) -> tuple[Sight, int]:
+        """Relays a writer's events; holds back what comes before the first text, so that until then another
+        forward is possible."""
+        events, gathered = codec.Events(), None if hand.asked.streamed else Gathered()
+        held_back: list[bytes] = []
+        stalled = self.limits.stalled_for / 1e6
+        while data := await connection.more():
+            for event, text, only_usage in events.feed(data):
+                if gathered:
+                    gathered.add(event[5:])
+                elif not only_usage or hand.asked.wants_usage:
+                    held_back.append(event)
+                if text and not hand.begun:
+                    self._begin(hand, out, limit)
+            if hand.begun and not gathered and held_back:
+                if hand.ended:
+                    return Sight.CALLED_OFF, 0
+                limit.reschedule(None)  # a slow client is not a stalled engine
+                await hand.reply.send(b"".join(held_back))
+                held_back.clear()
+            if hand.begun and not gathered:
+                limit.reschedule(self._loop.time() + stalled)
+        if not events.ended:
+            return Sight.CUT, 0
+        if gathered and not hand.ended:
+            if self._answered(hand, "done"):
+                hand.reply.whole(200, gathered.whole(), {**self._headers(hand), **JSON})
+        elif not hand.ended and self._answered(hand, "done"):
+            if not hand.begun:
+                hand.reply.begin(self._headers(hand))
+            hand.reply.end(b"".join(held_back) + b"data: [DONE]\n\n")
+        return Sight.WRITTEN, codec.kept(events.usage)
+
+    def _begin(self, hand: InHand, out: Out, limit: asyncio.Timeout) -> None:
+        hand.begun, hand.first_at = True, now()
+        hand.handle = None  # the writer has fetched it
+        self.gauges.first(hand.asked.group, hand.first_at - hand.taken_at)
+        self.router.on_begun(hand.id, out.number, hand.first_at - out.sent_at, hand.asked.streamed)
+        if hand.asked.streamed and not hand.ended:
+            limit.reschedule(None)
+            hand.reply.begin(self._headers(hand))
+
+    def _over(self, hand: InHand, out: Out, sight: Sight, note: int, report: LoadReport | None) -> None:
+        """Tells how a forward ended. A broken stream that a client has begun to read ends with an error event."""
+        ending, mark = ENDINGS[sight]
+        if sight is Sight.OUT_OF_TIME and hand.begun and hand.asked.streamed:
+            sight, (ending, mark) = Sight.STALLED, ENDINGS[Sight.STALLED]
+            self._log.error("stream stalled: ended by the last guard", req=hand.name, engine=out.engine)
+        hand.out = None
+        hand.trail.append(f"{out.engine}:{sight.name.lower()}")
+        self.gauges.forwarded(ending)
+        if hand.begun and ending is not Ending.DONE:
+            if hand.asked.streamed:
+                if self._answered(hand, "aborted"):
+                    hand.reply.end(
+                        chat.error_event("stream_broken", f"the stream can't go on: {sight.value}")
+                    )
+            else:
+                hand.begun = False  # nothing of it has reached the client
+        final = ending is Ending.DONE or hand.ended != ""
+        self.router.on_ended(
+            hand.id, out.number, out.engine, ending, now() - out.sent_at, note or mark, final, report
+        )
+        if hand.ended and hand.handle is not None and hand.out is None:
+            self._release(hand.held_at, hand.held_by)  # guards rule 5 where the module has forgotten the req
+            hand.handle = None
+        self._forget(hand)
+
+    def _release(self, engine: str, forward: str) -> None:
+        if not self._stopped:
+            self._tasks.create_task(self._ask_to_let_go(engine, forward))
+
+    async def _ask_to_let_go(self, engine: str, forward: str) -> None:
+        link = self.peers[engine].link
+        if await link.ask(codec.release_req(link.address, forward), ASK_WITHIN) is None:
+            self.gauges.releases_lost.inc()
+
+    async def _probe(self, engine: str) -> None:
+        link = self.peers[engine].link
+        answer = await link.ask(codec.probe_req(link.address), ASK_WITHIN)
+        self.router.on_probed(engine, codec.load_report(answer[0].headers) if answer else None)
+
+    # The end of a req.
+
+    def _headers(self, hand: InHand) -> dict[str, str]:
+        return {"x-request-id": hand.name}
+
+    def _answered(self, hand: InHand, ended: str) -> bool:
+        """The one place that a final answer passes. False: there was one already."""
+        if hand.ended:
+            return False
+        hand.ended = ended
+        hand.ended_at = now()
+        self.gauges.ended(hand.asked.group, ended)
+        return True
+
+    def _forget(self, hand: InHand) -> None:
+        if not hand.ended or hand.out or self.in_hand.pop(hand.id, None) is None:
+            return
+        if not self.in_hand:
+            self.empty.set()
+        asked = hand.asked
+        self._log.info(
+            "req",
+            req=hand.name,
+            client_id=asked.client_id,
+            group=asked.group,
+            tenant=asked.tenant,
+            ended=hand.ended,
+            took_us=hand.ended_at - hand.taken_at,
+            first_us=hand.first_at - hand.taken_at if hand.first_at else None,
+            prompt=asked.prompt,
+            forwards=hand.trail,
+        )
+
+    def give_up_all(self) -> None:
+        """The stop's own time is over: what is left is aborted, as loudly as can be."""
+        for hand in list(self.in_hand.values()):
+            self._log.error("aborted by the stop", req=hand.name)
+            if self._answered(hand, "aborted"):
+                if hand.begun and hand.asked.streamed:
+                    hand.reply.end(chat.error_event("stopping", "this router stops"))
+                else:
+                    hand.reply.whole(502, chat.error(502, "stopping", "aborted: this router stops"))
+                self.router.on_expired(hand.id)
+            if hand.out:
+                self.cancel(hand.id, hand.out.number)
+
+    def close(self) -> None:
+        self._stopped = True
+        for timer in self._timers:
+            timer.cancel()
+        for peer in self.peers.values():
+            peer.link.close()
+
+    # What operators may see.
+
+    def view(self) -> list[dict[str, Any]]:
+        """Each engine as this router sees it."""
+        at, rows = now(), []
+        for name in sorted(self.peers):
+            peer, engine = self.peers[name], self.router.engines.get(name)
+            if engine is None:
+                continue
+            rows.append(
+                {
+                    "name": name,
+                    "address": peer.link.address,
+                    "zone": engine.zone,
+                    "cell": engine.cell,
+                    "role": engine.role,
+                    "readiness": peer.readiness,
+                    "cold": at < engine.cold_until,
+                    "suspect": engine.strikes > 0 or engine.failures > 1,
+                    "tokens": engine.tokens,
+                    "unread": engine.unread,
+                    "waiting": len(engine.out),
+                    "report_age_ms": (at - engine.report_at) // 1000 if engine.report else None,
+                }
+            )
+        return rows
--- /dev/null
+++ b/lifthead/daemon/serve.py
@@ -0,0 +1,256 @@
+"""Starts one router process, and stops it without losing a req that it has taken."""
+
+import asyncio
+import functools
+import os
+import signal
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import structlog
+
+from lifthead.chat import codec
+from lifthead.chat.codec import BadReqError, Door
+from lifthead.chat.server import Clients, Reply
+from lifthead.daemon.gauges import Gauges
+from lifthead.daemon.host import Host, now
+from lifthead.deployment.derive import deployment
+from lifthead.deployment.fleet import Fleet
+from lifthead.engines.codec import ListedEngine, ListNews
+from lifthead.engines.listing import follow
+from lifthead.fleet import admin, health
+from lifthead.http1 import Message
+
+BACKLOG = 4096
+LAG_EVERY = 0.05
+
+
+class Daemon:
+    def __init__(self, fleet: Fleet, name: str, seed: int, log: Any, tasks: asyncio.TaskGroup) -> None:
+        self.fleet, self.spec, self.log = fleet, fleet.routers[name], log
+        self.gauges = Gauges()
+        self.door = Door(fleet)
+        start = deployment(fleet, name, seed)
+        self.host = Host(name, start, fleet.limits, tasks, self.gauges, log, int(fleet.rules.drain_grace))
+        self.clients = Clients(fleet.limits, self.answer)
+        self.stopping = asyncio.Event()
+        self.refusing = self.drained = False
+        self.started_at = now()
+        self.addresses: dict[str, str] = {}
+        self._lag = 0.0
+
+    def condition(self) -> health.Condition:
+        return health.Condition(
+            listed=self.host.listed_at > 0,
+            writers=self.host.ready_writers,
+            stopping=self.stopping.is_set(),
+            drained=self.drained,
+            full=len(self.host.in_hand) / self.fleet.limits.in_hand,
+        )
+
+    async def answer(self, message: Message, reply: Reply) -> None:
+        """One HTTP req of a client."""
+        path = message.path.partition("?")[0]
+        try:
+            if path == "/v1/chat/completions":
+                if message.method != "POST":
+                    raise BadReqError(405, "method_not_allowed", "expected POST")
+                asked = self.door.asked(message)
+                if (why := self._closed()) is None:
+                    await self.host.take(asked, reply)
+                else:  # never taken: no answer is owed later, and nothing was sent for it
+                    fields = {"content-type": "application/json", "retry-after": "1", "retry-after-ms": "250"}
+                    reply.whole(503, codec.error(503, "not_ready", why), fields)
+            elif path == "/v1/models" and message.method == "GET":
+                self.door.tenant(message.headers)
+                reply.whole(200, self.door.model_list())
+            elif path.startswith("/v1/models/") and message.method == "GET":
+                self.door.tenant(message.headers)
+                reply.whole(200, self.door.model(path.removeprefix("/v1/models/")))
+            else:
+                raise BadReqError(404, "not_found", "expected /v1/chat/completions or /v1/models")
+        except BadReqError as problem:
+            reply.whole(
+                problem.status, codec.error(problem.status, problem.code, problem.said, problem.param)
+            )
+
+    def _closed(self) -> str | None:
+        """Why no req can be taken now, None if one can."""
+        if self.refusing or self.drained:
+            return "this router drains"
+        if not self.host.listed_at:
+            return "this router has no list of engines yet"
+        if len(self.host.in_hand) >= self.fleet.limits.in_hand:
+            return "this router holds all that it may"
+        return None
+
+    # What operators ask.
+
+    def answers(self) -> dict[str, admin.Answer]:
+        return {
+            "state": lambda _: self.state(),
+            "engines": lambda _: self.host.view(),
+            "reqs": lambda _: [
+                {
+                    "req": hand.name,
+                    "group": hand.asked.group,
+                    "age_ms": (now() - hand.taken_at) // 1000,
+                    "begun": hand.begun,
+                    "at": hand.out.engine if hand.out else hand.held_at,
+                    "forwards": hand.trail,
+                }
+                for hand in self.host.in_hand.values()
+            ],
+            "drain": self._drain,
+            "stop": lambda _: self._stop(),
+        }
+
+    def state(self) -> dict[str, Any]:
+        condition = self.condition()
+        age = (now() - self.host.listed_at) / 1e6 if self.host.listed_at else None
+        return {
+            "name": self.spec.name,
+            "zone": self.spec.zone,
+            "pid": os.getpid(),
+            "state": condition.word,
+            "why": condition.why,
+            "reqs": len(self.host.in_hand),
+            "connections": self.clients.connections,
+            "engines": sum(peer.readiness == "ready" for peer in self.host.peers.values()),
+            "list_age_s": age,
+            "up_s": (now() - self.started_at) / 1e6,
+            **self.addresses,
+        }
+
+    def _drain(self, question: dict[str, Any]) -> dict[str, Any]:
+        self.drained = not question.get("undo", False)
+        self.log.info("drain", on=self.drained, reqs=len(self.host.in_hand))
+        return self.state()
+
+    def _stop(self) -> dict[str, Any]:
+        self.stopping.set()
+        return self.state()
+
+    async def measure(self) -> None:
+        """The loop's own lag, and gauges that are read from here."""
+        loop = asyncio.get_running_loop()
+        worst, turn = 0.0, 0
+        while True:
+            then = loop.time()
+            await asyncio.sleep(LAG_EVERY)
+            worst, turn = max(worst, loop.time() - then - LAG_EVERY), turn + 1
+            self.gauges.in_hand.set(len(self.host.in_hand))
+            if turn % 20 == 0:
+                self.gauges.lag.set(worst)
+                self.gauges.list_age.set((now() - self.host.listed_at) / 1e6 if self.host.listed_at else -1)
+                worst = 0.0
+
+
+def fixed_list(fleet: Fleet) -> ListNews:
+    """The engines that the settings name, where no service pushes a list."""
+    return ListNews(
+        True,
+        [
+            ListedEngine(engine.name, engine.address, engine.zone, engine.cell, engine.kind, engine.weight)
+            for engine in fleet.engines.values()
+        ],
+    )
+
+
+async def serve(fleet: Fleet, name: str, list_url: str, run_dir: Path, seed: int, log: Any) -> None:
+    """Runs the router until it is told to stop; returns once all that it had taken is answered."""
+    loop = asyncio.get_running_loop()
+    spec, limits = fleet.routers[name], fleet.limits
+    async with asyncio.TaskGroup() as tasks:
+        daemon = Daemon(fleet, name, seed, log, tasks)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, daemon.stopping.set)
+        # Listening to none until the health side can speak: a balancer never finds a port that lies.
+        checks = [
+            await _listen(functools.partial(health.agent, daemon.condition), spec.agent),
+            await _listen(functools.partial(health.pages, daemon.condition, daemon.gauges.page), spec.health),
+        ]
+        front = await _listen(daemon.clients.connection, spec.listen)
+        daemon.addresses = {
+            "agent": _address(checks[0]),
+            "health": _address(checks[1]),
+            "base_url": f"http://{_address(front)}/v1",
+        }
+        socket = Path(spec.admin) if spec.admin else run_dir / f"{name}.sock"
+        socket.parent.mkdir(parents=True, exist_ok=True)
+        socket.unlink(missing_ok=True)
+        before = os.umask(0o077)
+        desk = await asyncio.start_unix_server(functools.partial(admin.serve, daemon.answers()), str(socket))
+        os.umask(before)
+        service = [tasks.create_task(daemon.measure())]
+        if list_url:
+            service.append(
+                tasks.create_task(follow(list_url, name, daemon.host.on_list, daemon.host.on_list_lost, log))
+            )
+        else:
+            daemon.host.on_list(fixed_list(fleet))
+        log.info("serving", router=name, pid=os.getpid(), admin=str(socket), **daemon.addresses)
+        print(
+            msgspec.json.encode(
+                {"name": name, "admin": str(socket), "pid": os.getpid(), **daemon.addresses}
+            ).decode(),
+            flush=True,
+        )
+
+        await daemon.stopping.wait()
+        log.info("stopping", reqs=len(daemon.host.in_hand))
+        if limits.stop_notice:  # time for balancers to read `drain`; reqs are still taken
+            await asyncio.sleep(limits.stop_notice / 1e6)
+        daemon.refusing = True
+        front.close()
+        daemon.clients.stop()
+        try:
+            async with asyncio.timeout(limits.stop_within / 1e6):
+                await daemon.host.empty.wait()
+        except TimeoutError:
+            daemon.host.give_up_all()
+        await _quiet(daemon)
+        for task in service:
+            task.cancel()
+        daemon.host.close()
+        for server in (*checks, desk):
+            server.close()
+        socket.unlink(missing_ok=True)
+        log.info("stopped", reqs=len(daemon.host.in_hand))
+
+
+async def _quiet(daemon: Daemon) -> None:
+    """Waits briefly for connections to get their last bytes out, and for states to be let go of."""
+    for _ in range(40):
+        if not daemon.clients.connections and not daemon.host.in_hand:
+            return
+        await asyncio.sleep(0.05)
+
+
+async def _listen(handler: Any, address: str) -> asyncio.Server:
+    host, _, port = address.rpartition(":")
+    return await asyncio.start_server(handler, host, int(port), backlog=BACKLOG)
+
+
+def _address(server: asyncio.Server) -> str:
+    host, port = server.sockets[0].getsockname()[:2]
+    return f"{host}:{port}"
+
+
+def logger(path: str | None) -> Any:
+    """JSON lines to this file, else to standard error."""
+    out = open(path, "a", buffering=1) if path else None  # noqa: SIM115 - open as long as the process
+    import sys
+
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper("iso", utc=True),
+            structlog.processors.dict_tracebacks,
+            structlog.processors.JSONRenderer(),
+        ],
+        logger_factory=structlog.PrintLoggerFactory(out or sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+    return structlog.get_logger()
--- /dev/null
+++ b/lifthead/deployment/derive.py
@@ -0,0 +1,49 @@
+"""From a fleet's description to what one router of it is started with."""
+
+from lifthead.deployment.fleet import Fleet
+from lifthead.interface import Deployment, Effect, EndpointGroup, Tenant
+
+TICK = 10_000  # how late the loop may turn to a deadline: the grain of the daemon's clock
+
+
+def deployment(fleet: Fleet, router: str, seed: int) -> Deployment:
+    """Start settings of the decision module for this router of the fleet."""
+    rules = fleet.rules
+    return Deployment(
+        zone=fleet.routers[router].zone,
+        routers=len(fleet.routers),
+        tick=TICK,
+        seed=seed,
+        groups={
+            group.name: EndpointGroup(
+                group.name,
+                Effect(group.effect),
+                group.keyed_within,
+                group.keyed_for,
+                group.target,
+                group.target_per_1000,
+                group.deadline,
+                group.token_target,
+                group.importance,
+                group.late_share,
+            )
+            for group in fleet.groups.values()
+        },
+        tenants={tenant.name: Tenant(tenant.name, tenant.share_per_s) for tenant in fleet.tenants.values()},
+        roles={kind.name: kind.role for kind in fleet.kinds.values()},
+        memory={kind.name: kind.memory for kind in fleet.kinds.values()},
+        writers_read=rules.writers_read,
+        let_go_by=rules.let_go_within,
+        cold_share=rules.cold_share,
+        warm_within=rules.warm_within,
+        tip_multiple=rules.tip_multiple,
+        overload_for=rules.overload_for,
+        max_forwards=rules.max_forwards,
+        may_cancel=True,
+        may_probe=rules.probes,
+        may_hold_off=rules.max_hold_off > 0,
+        max_hold_off=rules.max_hold_off,
+        reports_on_probe=rules.probes,
+        must_ask=False,
+        ask_within=0,
+    )
--- /dev/null
+++ b/lifthead/deployment/durations.py
@@ -0,0 +1,21 @@
+"""Lengths of time as operators write them: `250ms`, `1.5s`, `2m30s`."""
+
+import parsy
+
+UNITS = {"us": 1, "ms": 1_000, "s": 1_000_000, "m": 60_000_000, "h": 3_600_000_000}
+
+_number = parsy.regex(r"\d+(\.\d+)?").map(float).desc("a number")
+_unit = parsy.string_from(*UNITS).desc("one of us, ms, s, m, h")
+_time = parsy.seq(_number, _unit.map(UNITS.get)).combine(lambda many, unit: many * unit).at_least(1).map(sum)
+
+
+class Micros(int):
+    """A length of time in whole microseconds."""
+
+
+def micros(text: str) -> Micros:
+    """Whole microseconds of a text like `1m30s`; ValueError says what was expected."""
+    try:
+        return Micros(round(_time.parse(text.strip())))
+    except parsy.ParseError:
+        raise ValueError(f"expected a time such as 250ms, 1.5s or 2m30s, got {text!r}") from None
--- /dev/null
+++ b/lifthead/deployment/fleet.py
@@ -0,0 +1,207 @@
+"""What a settings script describes, as plain types. A field's type is what the script may give there."""
+
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta
+
+from lifthead.deployment.durations import Micros
+
+Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
+Address = Annotated[str, Meta(pattern=r"^[A-Za-z0-9.\-]+:\d{1,5}$")]
+Above0 = Annotated[float, Meta(gt=0)]
+Part = Annotated[float, Meta(ge=0, le=1)]
+Count = Annotated[int, Meta(ge=1)]
+Zero = Micros(0)
+
+
+class Entry(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """One call of the script."""
+
+
+class Kind(Entry, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A kind of engine."""
+
+    name: Name
+    role: Literal["read", "write", "both"]
+    memory: Count  # tokens
+
+
+class EngineSpec(Entry, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """One engine. Port 0: whoever starts it (`lifthead up`) finds one."""
+
+    name: Name
+    address: Address = "127.0.0.1:0"
+    zone: Name
+    cell: Annotated[int, Meta(ge=0)] = 0
+    kind: Name
+    weight: Above0 = 1.0
+
+
+class Group(Entry, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """An endpoint group."""
+
+    name: Name
+    models: list[Name]  # a req for one of these is of this group
+    effect: Literal["replayable", "keyed", "non-replayable"] = "replayable"
+    keyed_within: Literal["all", "zone", "cell"] = "all"
+    keyed_for: Micros = Micros(5_000_000)
+    target: Micros
+    target_per_1000: Micros = Zero
+    deadline: Micros
+    token_target: Micros = Micros(60_000)
+    importance: Above0 = 1.0
+    late_share: Part = 0.0
+
+
+class TenantSpec(Entry, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Who sends reqs: known by an API key."""
+
+    name: Name
+    keys: Annotated[list[Annotated[str, Meta(min_length=8)]], Meta(min_length=1)]
+    share_per_s: Above0  # reqs a second, over all routers
+
+
+class RouterSpec(Entry, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """One router process and where it listens."""
+
+    name: Name
+    zone: Name
+    listen: Address = "127.0.0.1:0"
+    health: Address = "127.0.0.1:0"  # HTTP: /live, /ready, /metrics
+    agent: Address = "127.0.0.1:0"  # agent-check
+    admin: str = ""  # path of the Unix socket; "": NAME.sock in the run directory
+
+
+class Rules(Entry, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """The figures of the rules, and what a router may do."""
+
+    drain_grace: Micros = Micros(250_000)
+    let_go_within: Micros = Micros(500_000)
+    cold_share: Part = 0.25
+    warm_within: Micros = Micros(14_000_000)
+    tip_multiple: Above0 = 2.5
+    overload_for: Micros = Micros(1_500_000)
+    max_forwards: Count = 5
+    max_hold_off: Micros = Micros(500_000)
+    writers_read: bool = True
+    probes: bool = False  # ask engines for their load besides what their answers say
+
+
+class Limits(Entry, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Bounds on what clients may send and hold."""
+
+    header_bytes: Count = 16_384
+    body_bytes: Count = 4_194_304
+    header_within: Micros = Micros(5_000_000)  # from the first byte of a req's head to its last
+    body_within: Micros = Micros(20_000_000)
+    idle_for: Micros = Micros(75_000_000)
+    connections: Count = 20_000
+    in_hand: Count = 10_000  # reqs taken and not yet answered
+    stalled_for: Micros = Micros(30_000_000)  # a begun stream without a byte: the last guard
+    stop_within: Micros = Micros(120_000_000)  # a stop ends what is left after this
+    stop_notice: Micros = Zero  # time between saying `drain` to balancers and taking no more
+    connect_within: Micros = Micros(250_000)
+
+
+class Headers(Entry, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Names of the headers that a deployment's clients use."""
+
+    group: str = "x-endpoint-group"
+    session: str = "x-session-id"
+    budget_ms: str = "x-req-budget-ms"
+
+
+class StandIn(Entry, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """How a stand-in engine of one kind behaves (`lifthead engine`, `up`, `day`)."""
+
+    kind: Name
+    slots: Count = 32
+    queue: Annotated[int, Meta(ge=0)] = 32
+    read_per_s: Above0 = 20_000.0  # prompt tokens
+    step: Micros = Micros(20_000)  # one token for each running answer
+    step_per_stream: Micros = Micros(100)
+    near_per_s: Above0 = 300_000.0  # state tokens within a cell
+    link_per_s: Above0 = 200_000.0  # over a cell's link, shared
+    zone_slower: Above0 = 2.0
+    held_for: Micros = Micros(5_000_000)  # a state that nobody takes or lets go of
+
+
+class GroupMix(Entry, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """What one endpoint group's reqs of a crowd look like."""
+
+    group: Name
+    share: Above0
+    new_tokens: Count = 300  # mean; a session's next prompt holds all before
+    max_tokens: Count = 32
+    beginning_tokens: Annotated[int, Meta(ge=0)] = 1500
+    beginnings: Count = 6
+    beginning_share: Part = 0.9
+    turns: Count = 3
+
+
+class Crowd(Entry, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """The clients of a day."""
+
+    per_s: Above0
+    length: Micros
+    mix: list[GroupMix]
+    retries: Annotated[int, Meta(ge=0)] = 1
+    leaves: Part = 0.0  # share of reqs whose client goes away early
+    slow: Part = 0.0  # share of clients that read slowly
+    unstreamed: Part = 0.1
+    usage: dict[str, float] = {}  # a tenant's part of the traffic; left out: by shares
+
+
+TROUBLES = Literal[
+    "silent",
+    "slow",
+    "reset",
+    "lost",
+    "full",
+    "flush",
+    "garbage",
+    "crash",
+    "vanish",
+    "link_slow",
+    "drain",
+    "late_list",
+    "router_kill",
+    "router_roll",
+    "router_stop",
+    "burst",
+    "flood",
+    "hot_beginning",
+    "long_prompts",
+    "impatient",
+]
+
+
+class Trouble(Entry, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Something that goes wrong on a day. Which fields count depends on `what`: docs/days.md."""
+
+    what: TROUBLES
+    at: Micros
+    lasts: Micros = Micros(5_000_000)
+    engines: list[str] = []  # names, `zone:NAME`, `cell:N` or `kind:NAME`
+    routers: list[str] = []
+    part: Part = 1.0  # share of answers, prompts or traffic that it meets
+    times: Above0 = 4.0  # how much slower, longer or more
+    group: str = ""
+    tenant: str = ""
+
+
+class Fleet(msgspec.Struct, kw_only=True):
+    """All that one script says."""
+
+    kinds: dict[str, Kind] = {}
+    engines: dict[str, EngineSpec] = {}
+    groups: dict[str, Group] = {}
+    tenants: dict[str, TenantSpec] = {}
+    routers: dict[str, RouterSpec] = {}
+    stand_ins: dict[str, StandIn] = {}
+    rules: Rules = Rules()
+    limits: Limits = Limits()
+    headers: Headers = Headers()
+    crowd: Crowd | None = None
+    troubles: list[Trouble] = []
--- /dev/null
+++ b/lifthead/http1.py
@@ -0,0 +1,170 @@
+"""HTTP/1.1 as plain objects: bytes in, messages out. Sockets and time-outs are the callers'.
+
+Parsing is httptools' (docs/performance.md has the measurement against h11); the bounds are ours.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+from http import HTTPStatus
+
+import httptools
+
+Headers = dict[str, str]  # names in lower case; of a name that stands twice, values joined by commas
+
+
+class HttpError(Exception):
+    """The peer's bytes can't be used; carries the status to answer with."""
+
+    def __init__(self, status: int, said: str) -> None:
+        super().__init__(said)
+        self.status = status
+        self.said = said
+
+
+@dataclass(slots=True)
+class Message:
+    """One whole HTTP req, or the head of an answer."""
+
+    method: str = ""
+    path: str = ""
+    status: int = 0
+    headers: Headers = field(default_factory=dict)
+    body: bytes = b""
+    keep_alive: bool = True
+
+
+class _Parser:
+    """What both directions share: headers, and the bound on their size."""
+
+    def __init__(self, header_bytes: int, body_bytes: int) -> None:
+        self._most_header, self._most_body = header_bytes, body_bytes
+        self._in_head, self._head_size, self._body_size = True, 0, 0
+        self._begin()
+
+    def _begin(self) -> None:
+        self._in_head, self._head_size, self._body_size = True, 0, 0
+        self._now = Message()
+
+    @property
+    def partial(self) -> bool:
+        """Whether some bytes of an unfinished message have come."""
+        return self._head_size > 0
+
+    @property
+    def in_head(self) -> bool:
+        return self._in_head
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._head_size += len(name) + len(value) + 4
+        if self._head_size > self._most_header:
+            raise HttpError(431, f"headers are over {self._most_header} bytes")
+        key, text = name.decode("latin-1").lower(), value.decode("latin-1")
+        before = self._now.headers.get(key)
+        self._now.headers[key] = text if before is None else f"{before}, {text}"
+
+    def on_headers_complete(self) -> None:
+        self._in_head = False
+        self._now.keep_alive = self._llhttp.should_keep_alive()
+
+    def feed(self, data: bytes) -> None:
+        """Takes the peer's next bytes; HttpError if they break the protocol or a bound."""
+        if self._in_head:
+            self._head_size += len(data)
+            # Guards against a head without end: llhttp itself keeps no more than a token, but time is ours.
+            if self._head_size > 2 * self._most_header + self._most_body:
+                raise HttpError(431, f"headers are over {self._most_header} bytes")
+        try:
+            self._llhttp.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            raise HttpError(400, "a change of protocol is not offered") from None
+        except httptools.HttpParserError as problem:
+            cause = problem.__context__
+            if isinstance(cause, HttpError):
+                raise cause from None
+            raise HttpError(400, f"not HTTP/1.1: {str(problem)[:120]}") from None
+
+
+class ReqParser(_Parser):
+    """The server's side. Whole reqs stand in `ready`, in order."""
+
+    def __init__(self, header_bytes: int, body_bytes: int) -> None:
+        self._llhttp = httptools.HttpRequestParser(self)
+        self.ready: deque[Message] = deque()
+        self._body: list[bytes] = []
+        super().__init__(header_bytes, body_bytes)
+
+    def on_message_begin(self) -> None:
+        self._begin()
+        self._body = []
+        self._head_size = 1
+
+    def on_url(self, url: bytes) -> None:
+        self._head_size += len(url)
+        if self._head_size > self._most_header:
+            raise HttpError(431, f"headers are over {self._most_header} bytes")
+        self._now.path += url.decode("latin-1")
+
+    def on_headers_complete(self) -> None:
+        super().on_headers_complete()
+        told = self._now.headers.get("content-length", "0")
+        if told.isdigit() and int(told) > self._most_body:
+            raise HttpError(413, f"the body is over {self._most_body} bytes")
+
+    def on_body(self, data: bytes) -> None:
+        self._body_size += len(data)
+        if self._body_size > self._most_body:
+            raise HttpError(413, f"the body is over {self._most_body} bytes")
+        self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        self._now.method = self._llhttp.get_method().decode("latin-1")
+        self._now.body = b"".join(self._body)
+        self.ready.append(self._now)
+        self._begin()
+
+
+class AnswerParser(_Parser):
+    """The client's side: `head` once it is whole, body bytes as they come, `complete` at the end."""
+
+    def __init__(self, header_bytes: int = 65_536) -> None:
+        self._llhttp = httptools.HttpResponseParser(self)
+        self.head: Message | None = None
+        self.complete = False
+        self._body: list[bytes] = []
+        super().__init__(header_bytes, 0)
+
+    def on_headers_complete(self) -> None:
+        super().on_headers_complete()
+        self._now.status = self._llhttp.get_status_code()
+        self.head = self._now
+
+    def on_body(self, data: bytes) -> None:
+        self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        self.complete = True
+
+    def body(self) -> bytes:
+        """What has come of the body since the last call."""
+        data, self._body = b"".join(self._body), []
+        return data
+
+
+def head(first: str, headers: Headers) -> bytes:
+    lines = [first, *(f"{name}: {value}" for name, value in headers.items())]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1", "replace")
+
+
+def answer_head(status: int, headers: Headers) -> bytes:
+    try:
+        phrase = HTTPStatus(status).phrase
+    except ValueError:
+        phrase = "-"
+    return head(f"HTTP/1.1 {status} {phrase}", headers)
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+LAST_CHUNK = b"0\r\n\r\n"
--- /dev/null
+++ b/lifthead/standins/day.py
@@ -0,0 +1,144 @@
+"""Plays a scripted day on real processes: the crowd, and troubles at their times (docs/days.md)."""
+
+import asyncio
+import random
+import signal
+from pathlib import Path
+from typing import Any
+
+from lifthead.deployment.fleet import Fleet, Trouble
+from lifthead.standins import verify
+from lifthead.standins.crowd import Clients, Trend
+from lifthead.standins.record import Record, now
+from lifthead.standins.stage import Stage
+from lifthead.standins.text import filler
+
+AT_ENGINES = ("silent", "slow", "reset", "lost", "full", "flush", "garbage", "link_slow")
+
+
+class Day:
+    def __init__(self, fleet: Fleet, script: Path, out: Path, seed: int, serve: tuple[str, ...] = ()) -> None:
+        if fleet.crowd is None:
+            raise ValueError("no crowd() stands in the script, expected one")
+        out.mkdir(parents=True, exist_ok=True)
+        for old in (*out.glob("*.jsonl"), *out.glob("*.err"), *out.glob("*.sock")):
+            old.unlink()
+        self.fleet, self.out = fleet, out
+        self.stage = Stage(fleet, script.resolve(), out, seed, serve)
+        self.chance = random.Random(seed)
+        self.clients = Clients(fleet, fleet.crowd, seed, Record(out / "clients.jsonl"), self._addresses)
+
+    def _addresses(self) -> list[str]:
+        return [said["base_url"].split("/")[2] for said in self.stage.routers.values()]
+
+    async def play(self) -> dict[str, Any]:
+        """The whole day; its summary."""
+        rules = self.fleet.rules
+        Record(self.out / "facts.jsonl").put(
+            "facts",
+            drain_grace=rules.drain_grace,
+            let_go_within=rules.let_go_within,
+            cold_share=rules.cold_share,
+            warm_within=rules.warm_within,
+            tip_multiple=rules.tip_multiple,
+            overload_for=rules.overload_for,
+            groups={
+                group.name: {
+                    "effect": group.effect,
+                    "keyed_within": group.keyed_within,
+                    "keyed_for": group.keyed_for,
+                }
+                for group in self.fleet.groups.values()
+            },
+        )
+        try:
+            await self.stage.start()
+            self.stage.record.put("begin")
+            async with asyncio.TaskGroup() as tasks:
+                crowd = tasks.create_task(self.clients.play())
+                troubles = [tasks.create_task(self._trouble(trouble)) for trouble in self.fleet.troubles]
+                await crowd
+                for trouble in troubles:
+                    await trouble
+            self.stage.record.put("over")
+            codes = await self.stage.close()
+        finally:
+            await self.stage.abandon()
+        summary = verify.summary(self.out)
+        unclean = {name: code for name, code in codes.items() if code != 0}
+        return summary | ({"exit_codes": unclean} if unclean else {})
+
+    def _engines(self, chosen: list[str]) -> list[str]:
+        """Engines by name, zone, cell or kind; all if none are named."""
+        fleet, found = self.fleet, []
+        for name, spec in fleet.engines.items():
+            marks = {name, f"zone:{spec.zone}", f"cell:{spec.cell}", f"kind:{spec.kind}"}
+            if not chosen or marks & set(chosen):
+                found.append(name)
+        return found
+
+    async def _trouble(self, trouble: Trouble) -> None:
+        await asyncio.sleep(trouble.at / 1e6)
+        self.stage.record.put("trouble", what=trouble.what, engines=trouble.engines, routers=trouble.routers)
+        engines = self._engines(trouble.engines)
+        if trouble.what in AT_ENGINES:
+            await asyncio.gather(
+                *(
+                    self.stage.fault(
+                        name, trouble.what, trouble.lasts, trouble.part, trouble.times, trouble.group
+                    )
+                    for name in engines
+                )
+            )
+        elif trouble.what in ("crash", "vanish"):
+            await asyncio.gather(*(self._down(name, trouble) for name in engines))
+        elif trouble.what == "drain":
+            await self.stage.say("draining", *engines)
+            await asyncio.sleep(trouble.lasts / 1e6)
+            await self.stage.say("ready", *engines)
+        elif trouble.what == "late_list":
+            self.stage.list.late = trouble.lasts / 1e6
+        elif trouble.what.startswith("router"):
+            await self._routers(trouble)
+        else:
+            await self._crowd(trouble)
+
+    async def _down(self, name: str, trouble: Trouble) -> None:
+        """An engine is killed and comes back cold. `vanish`: it falls silent first, so that nobody is told by
+        a reset; what it holds breaks only when it comes back."""
+        if trouble.what == "vanish":
+            await self.stage.fault(name, "silent", trouble.lasts, 1.0, 1.0, "")
+            await asyncio.sleep(trouble.lasts / 1e6)
+        await self.stage.end(name, signal.SIGKILL)
+        if trouble.what == "crash":
+            await self.stage.say("gone", name)
+            await asyncio.sleep(trouble.lasts / 1e6)
+        await self.stage.start_engine(name, cold=True)
+
+    async def _routers(self, trouble: Trouble) -> None:
+        how = signal.SIGTERM if trouble.what == "router_stop" else signal.SIGKILL
+        for name in trouble.routers or list(self.fleet.routers):
+            if name in self.stage.routers:
+                await self.stage.end(name, how)
+                await asyncio.sleep(trouble.lasts / 1e6)
+                await self.stage.start_router(name)
+
+    async def _crowd(self, trouble: Trouble) -> None:
+        trend = {
+            "burst": Trend(rate=trouble.times),
+            "flood": Trend(tenant=trouble.tenant, tenant_rate=self.fleet.crowd.per_s * trouble.times),
+            "hot_beginning": Trend(beginning=filler(self.chance, 2500), beginning_part=trouble.part),
+            "long_prompts": Trend(long_group=trouble.group, long_part=trouble.part, long_times=trouble.times),
+            "impatient": Trend(impatient=trouble.tenant),
+        }[trouble.what]
+        self.clients.trends.append(trend)
+        await asyncio.sleep(trouble.lasts / 1e6)
+        self.clients.trends.remove(trend)
+
+
+async def play(
+    fleet: Fleet, script: Path, out: Path, seed: int, serve: tuple[str, ...] = ()
+) -> dict[str, Any]:
+    started = now()
+    summary = await Day(fleet, script, out, seed, serve).play()
+    return summary | {"took_s": round((now() - started) / 1e6, 1)}
