--- a/lifthead/cli.py
+++ b/lifthead/cli.py
@@ -17,7 +17,12 @@
 from lifthead.deployment import derive, script
 from lifthead.deployment.fleet import Fleet
 
-app = typer.Typer(no_args_is_help=True, add_completion=False, help="A router for language-model servers.")
+app = typer.Typer(
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
+    help="A router for language-model servers.",
+)
 RunDir = Annotated[Path, typer.Option("--run", help="Run directory: admin sockets and records.")]
 AsJson = Annotated[bool, typer.Option("--json", help="One JSON document, for scripts.")]
 DEFAULT_RUN = Path(".lifthead")
@@ -36,7 +41,7 @@
 
 
 def _json(value: Any) -> None:
-    typer.echo(msgspec.json.encode(value).decode())
+    typer.echo(msgspec.json.encode(value, enc_hook=int).decode())
 
 
 def _table(rows: list[dict[str, Any]], title: str) -> None:
@@ -57,7 +62,9 @@
 def check(file: Path, as_json: AsJson = False) -> None:
     """Print what a settings script says, and the figures that follow from it."""
     fleet = _fleet(file)
-    derived = {name: msgspec.to_builtins(derive.deployment(fleet, name, 0)) for name in fleet.routers}
+    derived = {
+        name: msgspec.to_builtins(derive.deployment(fleet, name, 0), enc_hook=int) for name in fleet.routers
+    }
     if as_json:
         return _json({"fleet": fleet, "derived": derived})
     for title, part in (
@@ -66,7 +73,7 @@
         ("tenants", fleet.tenants),
         ("routers", fleet.routers),
     ):
-        rows = [msgspec.to_builtins(each) for each in part.values()]
+        rows = [msgspec.to_builtins(each, enc_hook=int) for each in part.values()]
         for row in rows:
             row.pop("keys", None)
         _table(rows, title)
@@ -197,7 +204,7 @@
 
 @app.command()
 def up(file: Path, run: RunDir = DEFAULT_RUN, seed: int = 1, as_json: AsJson = False) -> None:
-    """Start stand-in engines, a pushed list and the routers of a script; print the base URLs; run until SIGTERM."""
+    """Start stand-in engines, a pushed list and the routers of a script; run until SIGTERM."""
     import signal
 
     from lifthead.standins.stage import Stage
--- a/lifthead/daemon/host.py
+++ b/lifthead/daemon/host.py
@@ -364,7 +364,7 @@
             hand.reply.begin(self._headers(hand))
 
     def _over(self, hand: InHand, out: Out, sight: Sight, note: int, report: LoadReport | None) -> None:
-        """Tells how a forward ended. A broken stream that a client has begun to read ends with an error event."""
+        """Tells how a forward ended. A stream that broke in front of its client ends with an error event."""
         ending, mark = ENDINGS[sight]
         if sight is Sight.OUT_OF_TIME and hand.begun and hand.asked.streamed:
             sight, (ending, mark) = Sight.STALLED, ENDINGS[Sight.STALLED]
--- a/lifthead/fleet/admin.py
+++ b/lifthead/fleet/admin.py
@@ -1,4 +1,4 @@
-"""The admin socket: a JSON question a line, a JSON answer a line, over the router owner's Unix socket.
+"""The admin socket: a JSON question a line, a JSON answer a line, over a Unix socket."""
 
 import asyncio
 import contextlib
--- a/lifthead/standins/record.py
+++ b/lifthead/standins/record.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-_encode = msgspec.json.Encoder().encode
+_encode = msgspec.json.Encoder(enc_hook=int).encode  # lengths of time are whole numbers
 
 
 def now() -> int:
@@ -19,9 +19,9 @@
     def __init__(self, path: str | Path | None) -> None:
         self._file = open(path, "ab", buffering=0) if path else None  # noqa: SIM115 - open as long as its owner
 
-    def put(self, what: str, at: int | None = None, **fields: Any) -> None:
+    def put(self, ev: str, at: int | None = None, **fields: Any) -> None:
         if self._file:
-            self._file.write(_encode({"t": now() if at is None else at, "ev": what, **fields}) + b"\n")
+            self._file.write(_encode({"t": now() if at is None else at, "ev": ev, **fields}) + b"\n")
 
     def close(self) -> None:
         if self._file:
--- a/lifthead/standins/stage.py
+++ b/lifthead/standins/stage.py
@@ -1,5 +1,5 @@
-"""Sets up the processes of a fleet on loopback: the pushed list, stand-in engines, routers. Ports come from the
-system. Processes are ended by their own ids only."""
+"""Sets up a fleet's processes on loopback: the pushed list, stand-in engines, routers. Ports come from the
+system; processes are ended by their own ids only."""
 
 import asyncio
 import contextlib
@@ -21,8 +21,8 @@
 
 
 class Stage:
-    """One fleet's processes, from `start` to `close`. `serve` is the command of a router, to which what it needs
-    is added; another one can be given to measure something else on the same stage."""
+    """One fleet's processes, from `start` to `close`. `serve` is a router's command, to which its options are
+    added; another one can be given to measure something else on the same stage."""
 
     def __init__(self, fleet: Fleet, script: Path, out: Path, seed: int, serve: Sequence[str] = ()) -> None:
         self.fleet, self.script, self.out, self.seed = fleet, script, out, seed
@@ -106,7 +106,7 @@
 
     async def fault(self, name: str, what: str, lasts: int, part: float, times: float, group: str) -> None:
         said = msgspec.json.encode(
-            {"what": what, "lasts": lasts, "part": part, "times": times, "group": group}
+            {"what": what, "lasts": int(lasts), "part": part, "times": times, "group": group}
         )
         with contextlib.suppress(OSError, TimeoutError):
             await wire.call(self.engines[name]["address"], "POST", "/standin/fault", said)
--- a/lifthead/standins/verify.py
+++ b/lifthead/standins/verify.py
@@ -147,7 +147,7 @@
 
 
 def excuse(traffic: Traffic, ask: Line, answer: Line) -> str:
-    """Why a try without a final answer breaks no rule: its router was killed, or stopped before it took it."""
+    """Why a try without a final answer breaks no rule: its router was killed, or stopped before taking it."""
     if _between(traffic.killed[ask["router"]], ask["t"], answer["t"]):
         return "router killed"
     untaken = answer["status"] == 0 and not traffic.forwards.get(ask["id"])
@@ -252,7 +252,7 @@
 
 
 def _cold(traffic: Traffic) -> list[Breach]:
-    """4. A cold engine gets no more than the multiple of what it can do in any window, by all routers together."""
+    """4. In no window does a cold engine get more than the multiple of what it can do, by all together."""
     facts, found = traffic.facts, []
     window, warm = facts["overload_for"], facts["warm_within"]
     for name, starts in traffic.starts.items():
@@ -316,8 +316,8 @@
 
 
 def service(traffic: Traffic) -> float:
-    """Importance answered within its response target over the importance asked for, retries counted with their
-    first try; a late answer earns its group's late share."""
+    """Importance answered within its response target over the importance asked for, retries counted with
+    their first try; a late answer earns its group's late share."""
     asked = earned = 0.0
     tries: dict[str, list[str]] = defaultdict(list)
     for name, ask in traffic.asks.items():
