--- a/lifthead/chat/server.py
+++ b/lifthead/chat/server.py
@@ -10,6 +10,7 @@
 from lifthead.http1 import Headers, HttpError, Message
 
 READ = 65_536
+LINGER = 1.0  # seconds
 JSON = {"content-type": "application/json"}
 
 
@@ -126,9 +127,7 @@
                 Reply(writer, False).whole(
                     problem.status, codec.error(problem.status, "bad_http", problem.said)
                 )
-                with contextlib.suppress(ConnectionError, TimeoutError):
-                    async with asyncio.timeout(1):
-                        await writer.drain()
+                await self._linger(reader, writer)
                 return
             if message is None:
                 return
@@ -170,6 +169,16 @@
             parser.feed(data)
         return parser.ready.popleft()
 
+    async def _linger(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Closes only once the peer has had time to read why: with bytes of its own still unread, an answer
+        would be lost to a reset."""
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(LINGER):
+                await writer.drain()
+                writer.write_eof()
+                while await reader.read(READ):
+                    pass
+
     async def _watch(self, reader: asyncio.StreamReader, parser: http1.ReqParser, reply: Reply) -> None:
         """Sees at once that the client left. What it sends early is parsed, up to the body's bound; a client
         that closes its sending side counts as gone."""
--- a/lifthead/daemon/host.py
+++ b/lifthead/daemon/host.py
@@ -25,6 +25,7 @@
 from lifthead.http1 import HttpError
 from lifthead.interface import Demand, Deployment, Effect, Ending, EngineEntry, LoadReport
 
+REST_WITHIN = 0.02  # seconds for the last bytes after a stream's end
 ASK_WITHIN = 1.0  # seconds that letting go or a probe may take; the module is told nothing of a lost one
 
 
@@ -100,6 +101,9 @@
         self._roles = deployment.roles
         self._effects = {group.name: group.effect for group in deployment.groups.values()}
         self._wall = time.time_ns() // 1000 - now()
+        self._life = (
+            f"{time.time_ns() // 1_000_000:x}"  # engines must not take this life's reqs for the last one's
+        )
         self._loop = asyncio.get_running_loop()
         self._timers: set[asyncio.TimerHandle] = set()
         self._stopped = False
@@ -154,7 +158,7 @@
     async def take(self, asked: Asked, reply: Reply) -> None:
         """A client's req, from its demand to the end of its answer."""
         req_id, self._next = self._next, self._next + 1
-        hand = InHand(req_id, f"{self.name}-{req_id}", asked, reply, now())
+        hand = InHand(req_id, f"{self.name}-{self._life}-{req_id}", asked, reply, now())
         self.in_hand[req_id] = hand
         self.empty.clear()
         self.gauges.taken(asked.group)
@@ -343,6 +347,8 @@
                 held_back.clear()
             if hand.begun and not gathered:
                 limit.reschedule(self._loop.time() + stalled)
+            if events.ended:
+                break
         if not events.ended:
             return Sight.CUT, 0
         if gathered and not hand.ended:
@@ -352,6 +358,9 @@
             if not hand.begun:
                 hand.reply.begin(self._headers(hand))
             hand.reply.end(b"".join(held_back) + b"data: [DONE]\n\n")
+        with contextlib.suppress(TimeoutError, OSError, HttpError):
+            async with asyncio.timeout(REST_WITHIN):
+                await connection.rest()  # a whole answer's connection can be used again
         return Sight.WRITTEN, codec.kept(events.usage)
 
     def _begin(self, hand: InHand, out: Out, limit: asyncio.Timeout) -> None:
--- a/lifthead/engines/codec.py
+++ b/lifthead/engines/codec.py
@@ -198,7 +198,7 @@
                 return None  # a comment, a heartbeat: no token
             event = b"\n".join(lines)
         if self.ended:
-            raise StrangeError("events after the stream's end")
+            return None
         said = event[5:].strip()
         if said == b"[DONE]":
             self.ended = True
--- a/lifthead/http1.py
+++ b/lifthead/http1.py
@@ -38,11 +38,10 @@
 
     def __init__(self, header_bytes: int, body_bytes: int) -> None:
         self._most_header, self._most_body = header_bytes, body_bytes
-        self._in_head, self._head_size, self._body_size = True, 0, 0
         self._begin()
 
     def _begin(self) -> None:
-        self._in_head, self._head_size, self._body_size = True, 0, 0
+        self._in_head, self._head_size, self._body_size, self._fed = True, 0, 0, 0
         self._now = Message()
 
     @property
@@ -68,11 +67,7 @@
 
     def feed(self, data: bytes) -> None:
         """Takes the peer's next bytes; HttpError if they break the protocol or a bound."""
-        if self._in_head:
-            self._head_size += len(data)
-            # Guards against a head without end: llhttp itself keeps no more than a token, but time is ours.
-            if self._head_size > 2 * self._most_header + self._most_body:
-                raise HttpError(431, f"headers are over {self._most_header} bytes")
+        head = self._now if self._in_head else None
         try:
             self._llhttp.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -81,7 +76,12 @@
             cause = problem.__context__
             if isinstance(cause, HttpError):
                 raise cause from None
-            raise HttpError(400, f"not HTTP/1.1: {str(problem)[:120]}") from None
+            raise HttpError(400, f"not HTTP: {str(problem)[:120]}") from None
+        if self._in_head and self._now is head:
+            # Guards against one header without end, of which no callback tells before it is whole.
+            self._fed += len(data)
+            if self._fed > self._most_header:
+                raise HttpError(431, f"headers are over {self._most_header} bytes")
 
 
 class ReqParser(_Parser):
--- a/lifthead/standins/engine.py
+++ b/lifthead/standins/engine.py
@@ -103,9 +103,13 @@
         found = self.fault(what)
         return found is not None and self.chance.random() < found.part
 
-    async def _not_silent(self) -> None:
-        while found := self.fault("silent"):
-            await asyncio.sleep(max((found.until - now()) / 1e6, 0.001))
+    async def _not_silent(self, asked: Asked) -> bool:
+        """Waits while the engine is silent; False if the peer left meanwhile."""
+        while not asked.closed.is_set() and (found := self.fault("silent")):
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(max((found.until - now()) / 1e6, 0.001)):
+                    await asked.closed.wait()
+        return not asked.closed.is_set()
 
     def pace(self) -> float:
         """How many times slower than when warm and well."""
@@ -162,15 +166,15 @@
                 )
             self.record.put("fault", **what)
             return server.whole(200, b"{}")
-        await self._not_silent()
+        if asked.path == "/v1/chat/completions" and asked.method == "POST":
+            return await self._chat(server, asked)
+        await self._not_silent(asked)
         if asked.path == "/health":
             return server.whole(503 if self.fallen else 200, b"{}", self._load())
         if asked.path == "/v1/kv/release":
             return self._release(server, str(json.loads(asked.body).get("request_id")))
         if asked.path == "/standin/fetch":
-            return await self._hand_over(server, json.loads(asked.body))
-        if asked.path == "/v1/chat/completions" and asked.method == "POST":
-            return await self._chat(server, asked)
+            return await self._hand_over(server, asked, json.loads(asked.body))
         return server.whole(404, b"{}")
 
     async def _chat(self, server: Server, asked: Asked) -> None:
@@ -195,9 +199,11 @@
             work=round(work),
             key=asked.headers.get("idempotency-key", ""),
         )
-        self._arrives(work)
         how = "closed"
         try:
+            if not await self._not_silent(asked):  # recorded all the same: to its router it was out
+                return None
+            self._arrives(work)
             if self.meets("garbage"):
                 server.raw(b"\x00\x01 this is not the protocol\r\n\r\n" + b"\xff" * 64)
                 await server.writer.drain()
@@ -260,7 +266,7 @@
         await self._through_reading(
             body["messages"], max(prompt - kept, 1)
         )  # goes on though the peer may have left
-        await self._not_silent()
+        await self._not_silent(asked)
         if forward in self.dropped:
             self.dropped.discard(forward)
             return "dropped"
@@ -315,7 +321,7 @@
             self.dropped.add(forward)
         server.whole(200, b"{}")
 
-    async def _hand_over(self, server: Server, question: dict) -> None:
+    async def _hand_over(self, server: Server, asked: Asked, question: dict) -> None:
         """A writer fetches a state: near, over the cell's link, or to another zone."""
         forward = question["id"]
         held = self.held.get(forward)
@@ -333,7 +339,8 @@
             )
             until = self.link_free_at
         await asyncio.sleep(max(until - now(), 0) / 1e6)
-        await self._not_silent()
+        if not await self._not_silent(asked):
+            return server.whole(404, b"{}")
         if not self._let_go(forward, "taken"):
             return server.whole(404, b"{}")
         return server.whole(200, b"{}")
--- a/lifthead/standins/verify.py
+++ b/lifthead/standins/verify.py
@@ -29,6 +29,11 @@
     lines: list[Line]
 
 
+def _router(forward_id: str) -> str:
+    """The router of `NAME-LIFE-REQ.FORWARD`."""
+    return forward_id.rsplit("-", 2)[0]
+
+
 @dataclass(slots=True)
 class Forward:
     """One forward as its engine saw it."""
@@ -43,7 +48,7 @@
 
     @property
     def router(self) -> str:
-        return self.id.rpartition("-")[0]
+        return _router(self.id)
 
 
 @dataclass(slots=True)
@@ -291,7 +296,7 @@
     found = []
     for forward_id, engine, since, until, why in traffic.held:
         name = by_forward.get(forward_id, "")
-        router = forward_id.rpartition("-")[0]
+        router = _router(forward_id)
         if any(at >= since - SLACK for at in traffic.killed[router] if at <= until):
             continue  # what a killed router left is freed by the engine itself
         busy = [(forward.at, forward.until) for forward in traffic.forwards.get(name, ())] + traffic.silent[
--- /dev/null
+++ b/tests/loopback.py
@@ -0,0 +1,127 @@
+"""A router and stand-in engines in one loop, on ports that the system gives, and raw clients to talk to them."""
+
+import asyncio
+import contextlib
+import json
+from pathlib import Path
+
+import structlog
+
+from lifthead.daemon.serve import Daemon
+from lifthead.deployment import script
+from lifthead.engines.codec import ListedEngine, ListNews
+from lifthead.standins.engine import Engine, Fault
+from lifthead.standins.record import Record, lines, now
+
+KEY = "key-loopback"
+SCRIPT = """
+rules(let_go_within = "300ms", warm_within = "2s", max_hold_off = "500ms")
+limits(header_bytes = 8192, body_bytes = 200000, header_within = "300ms", body_within = "300ms", stalled_for = "600ms")
+kind("reader", role = "read", memory = 200000)
+kind("writer", role = "write", memory = 100000)
+stand_in("reader", read_per_s = 100000)
+stand_in("writer", read_per_s = 50000, step = "5ms")
+engine("rd", zone = "a", kind = "reader")
+engine("wr", zone = "a", kind = "writer")
+engine("wr2", zone = "a", kind = "writer")
+router("r", zone = "a")
+group("chat", models = ["m"], target = "1s", deadline = "2s")
+group("pay", models = ["once"], effect = "non-replayable", target = "1s", deadline = "2s")
+tenant("t", keys = ["key-loopback"], share_per_s = 10000.0)
+"""
+
+
+class Loopback:
+    """`engines` names the stand-ins to run; `odd` gives handlers that take an engine's place."""
+
+    def __init__(self, path: Path, engines=("rd", "wr"), odd=None, text=SCRIPT):
+        self.path, self.names, self.odd, self.fleet = path, engines, odd or {}, script.run(text, "loopback")
+        self.engines: dict[str, Engine] = {}
+        self.servers, self.listed = [], {}
+
+    async def __aenter__(self):
+        self._group = await asyncio.TaskGroup().__aenter__()
+        for name in self.names:
+            record = Record(self.path / f"engine-{name}.jsonl")
+            engine = self.engines[name] = Engine(self.fleet, self.fleet.engines[name], 1, record, False)
+            engine.address = self.listed[name] = await self._listen(engine.connection)
+            self.beats = [*getattr(self, "beats", []), self._group.create_task(engine.steps())]
+        for name, handler in self.odd.items():
+            self.listed[name] = await self._listen(handler)
+        log = structlog.wrap_logger(structlog.PrintLogger(open(self.path / "log", "w")))  # noqa: SIM115
+        self.daemon = Daemon(self.fleet, "r", 1, log, self._group)
+        self.address = await self._listen(self.daemon.clients.connection)
+        self.tell()
+        return self
+
+    async def _listen(self, handler):
+        self.servers.append(await asyncio.start_server(handler, "127.0.0.1", 0, backlog=2048))
+        return "{}:{}".format(*self.servers[-1].sockets[0].getsockname()[:2])
+
+    def tell(self, **readiness):
+        specs = self.fleet.engines
+        self.daemon.host.on_list(ListNews(True, [
+            ListedEngine(name, at, specs[name].zone, specs[name].cell, specs[name].kind,
+                         readiness=readiness.get(name, "ready"))
+            for name, at in self.listed.items()
+        ]))  # fmt: skip
+
+    def fault(self, name, what, lasts=5.0, part=1.0, times=1.0, group=""):
+        self.engines[name].faults[what] = Fault(now() + int(lasts * 1e6), part, times, group)
+
+    async def __aexit__(self, *_):
+        for task in getattr(self, "beats", []):
+            task.cancel()
+        self.daemon.host.give_up_all()
+        self.daemon.host.close()
+        for server in self.servers:
+            server.close()
+        await self._group.__aexit__(None, None, None)
+
+    def record(self, name):
+        return lines(self.path / f"engine-{name}.jsonl")
+
+    async def until(self, true, within=3.0):
+        async with asyncio.timeout(within):
+            while not true():
+                await asyncio.sleep(0.01)
+
+
+def body(text="hi", model="m", **more):
+    return {"model": model, "messages": [{"role": "user", "content": text}], **more}
+
+
+def http(said, path="/v1/chat/completions", method="POST", **headers):
+    data = said if isinstance(said, bytes) else json.dumps(said).encode()
+    fields = {
+        "host": "x",
+        "authorization": f"Bearer {KEY}",
+        "content-length": str(len(data)),
+        "connection": "close",
+    }
+    fields |= {name.replace("_", "-"): value for name, value in headers.items()}
+    head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+    return f"{method} {path} HTTP/1.1\r\n{head}\r\n".encode() + data
+
+
+async def raw(address, *parts, until_closed=True, within=5.0):
+    """Sends bytes and returns all that comes back."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        async with asyncio.timeout(within):
+            for part in parts:
+                writer.write(part)
+                with contextlib.suppress(ConnectionError):
+                    await writer.drain()
+                await asyncio.sleep(0)
+            return await reader.read(-1)
+    finally:
+        writer.close()
+
+
+async def ask(address, said, **headers):
+    """Status and body of one req on a connection of its own."""
+    answer = await raw(address, http(said, **headers))
+    head, _, rest = answer.partition(b"\r\n\r\n")
+    return int(head.split()[1]), rest, head.decode("latin-1").lower()
--- /dev/null
+++ b/tests/test_deployment.py
@@ -0,0 +1,77 @@
+from pathlib import Path
+
+import pytest
+
+from lifthead.deployment import derive, script
+from lifthead.deployment.durations import micros
+
+GOOD = """
+kind("r", role = "read", memory = 1000)
+kind("w", role = "write", memory = 1000)
+engine("r1", zone = "a", kind = "r")
+engine("w1", zone = "a", kind = "w")
+group("g", models = ["m"], target = "1s", deadline = "2s")
+tenant("t", keys = ["12345678"], share_per_s = 2.0)
+router("one", zone = "a")
+"""
+
+
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ("kind('a', role='red', memory=1)", "x.star:1:1: kind, field role"),
+        ("\nkind('a', role='read', memory=0)", "x.star:2:1: kind, field memory: Expected `int` >= 1"),
+        ("kind('a', roel='read', memory=1)", "x.star:1:1: kind: Object contains unknown field `roel`"),
+        ("kind()", "required field `name`"),
+        ("group('g', models=['m'], target=5, deadline='5s')", "field target: expected a time in quotes"),
+        ("group('g', models=['m'], target='5x', deadline='5s')", "expected a time such as 250ms"),
+        ("x = [1\n", "x.star:2:1: syntax error"),
+        ("def f():\n  for i in range(100000000):\n    pass\nf()", "too many steps"),
+        ("x = ['a' * 1000000 for i in range(10000)]", "too much memory"),
+        ("while True:\n  pass", "'while' not supported"),
+        ("def f(): f()\nf()", "recurs"),
+        ("load('a.star', 'b')", "load() not allowed"),
+        ("open('x')", "name 'open' is not defined"),
+        (GOOD + "kind('r', role='read', memory=1)", "kind 'r' stands twice"),
+        (GOOD + "rules()\nrules()", "rules() stands twice"),
+        (GOOD + "engine('w2', zone='a', kind='no')", "engine w2, field kind"),
+        (GOOD + "group('h', models=['m'], target='1s', deadline='2s')", "group h, field models"),
+        (GOOD + "tenant('u', keys=['12345678'], share_per_s=1.0)", "tenant u, field keys"),
+        (GOOD.replace("'w', role", "'w', role").replace('role = "write"', 'role = "read"'), "no engine writes"),
+        (GOOD.replace("router(", "dict(router=").replace('"one"', '"one"'), "no router() stands in it"),
+        (GOOD + "engine('x', zone='a', kind='w', address='h:1')\nengine('y', zone='a', kind='w', address='h:1')",
+         "engine y, field address: h:1 is x's already"),
+    ],
+)  # fmt: skip
+def test_what_is_wrong_is_said_with_its_place(text, said):
+    with pytest.raises(script.ScriptError) as problem:
+        script.run(text, "x.star")
+    assert said in str(problem.value) and "\n" not in str(problem.value)
+
+
+def test_a_script_becomes_start_settings():
+    start = derive.deployment(script.run(GOOD, "x.star"), "one", 5)
+    assert (start.zone, start.routers, start.seed, start.roles) == ("a", 1, 5, {"r": "read", "w": "write"})
+    assert start.groups["g"].target == 1_000_000 and start.tenants["t"].quota_per_s == 2.0
+
+
+@pytest.mark.parametrize("text", ["/no/such.star", "."])
+def test_a_file_that_cannot_be_read(text):
+    with pytest.raises(script.ScriptError, match="can't be read"):
+        script.read(text)
+
+
+@pytest.mark.parametrize("path", sorted(Path("examples").glob("*.star")), ids=str)
+def test_the_examples_can_be_used(path):
+    assert script.read(path).crowd
+
+
+@pytest.mark.parametrize(("text", "value"), [("250ms", 250_000), ("1.5s", 1_500_000), ("2m30s", 150_000_000)])
+def test_times(text, value):
+    assert micros(text) == value
+
+
+@pytest.mark.parametrize("text", ["", "5", "ms", "5 s s", "-1s", "1e3s"])
+def test_no_times(text):
+    with pytest.raises(ValueError, match="expected a time"):
+        micros(text)
--- /dev/null
+++ b/tests/test_engines.py
@@ -0,0 +1,146 @@
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lifthead.engines import codec
+from lifthead.engines.codec import ENDINGS, NOT_RUN, Events, Sight, StrangeError
+from lifthead.http1 import AnswerParser, HttpError, Message, ReqParser
+from lifthead.interface import Ending
+
+WORDS = ["fuel ", "não ", "a\n\nb", "data: x", "«ok» "]
+
+
+def event(word=None, finish=None, **more):
+    delta = {} if word is None else {"content": word}
+    return (
+        b"data: "
+        + json.dumps({"choices": [{"index": 0, "delta": delta, "finish_reason": finish}], **more}).encode()
+    )
+
+
+STREAM = b"".join(
+    part + b"\n\n"
+    for part in [b": a heartbeat", event(""), *(event(word) for word in WORDS), event(None, "stop"),
+                 b'data: {"choices": [], "usage": {"prompt_tokens": 3, "completion_tokens": 5}}', b"data: [DONE]"]
+)  # fmt: skip
+
+
+@given(st.lists(st.integers(0, len(STREAM)), max_size=12), st.booleans())
+def test_events_come_whole_whatever_the_borders(cuts, crlf):
+    events, seen = Events(), []
+    stream = STREAM.replace(b"\n", b"\r\n") if crlf else STREAM
+    places = sorted({0, *cuts, len(stream)})
+    for start, end in zip(places, places[1:], strict=False):
+        seen += events.feed(stream[start:end])
+    texts = [json.loads(raw[5:])["choices"][0]["delta"].get("content") for raw, text, _ in seen if text]
+    assert texts == [*WORDS, None] and events.ended and events.usage.completion_tokens == 5
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"data: {\n\n", b"data: 5\n\n", b'data: {"error": {"message": "x"}}\n\n',
+     b"x" * (Events.MOST + 1), b'data: "\xff"\n\n'],
+)  # fmt: skip
+def test_what_is_no_stream_is_strange(data):
+    with pytest.raises(StrangeError):
+        Events().feed(data)
+
+
+@pytest.mark.parametrize(
+    ("status", "mark", "sight"),
+    [
+        (503, "1", Sight.TURNED_AWAY),
+        (429, "1", Sight.TURNED_AWAY),
+        (503, "", Sight.REFUSED_UNMARKED),
+        (500, "1", Sight.REFUSED_UNMARKED),
+        (409, "no-state", Sight.STATE_GONE),
+        (400, "", Sight.REFUSED_UNMARKED),
+    ],
+)
+def test_what_a_refusal_proves(status, mark, sight):
+    assert codec.refusal(Message(status=status, headers={NOT_RUN: mark} if mark else {})) is sight
+
+
+def test_only_what_is_certain_proves_not_run():
+    proven = {
+        sight
+        for sight, (ending, _) in ENDINGS.items()
+        if ending in (Ending.BUSY, Ending.UNREACHABLE, Ending.NOT_SENT)
+    }
+    assert proven == {Sight.NO_CONNECTION, Sight.STALE, Sight.TURNED_AWAY, Sight.STATE_GONE}
+    assert set(ENDINGS) == set(Sight)
+
+
+@pytest.mark.parametrize(
+    ("said", "expected"),
+    [
+        ('JSON {"mem_utilization": 0.5, "named_metrics": {"num_requests_waiting": 3, "num_requests_running": 2}}',
+         (5, 3, None, 0.5, None)),
+        ("TEXT application_utilization=0.25, named_metrics.prompt_tokens_waiting=1500", (None, None, 0.25, None, 1.5)),
+        ('JSON {"mem_utilization": -1, "application_utilization": 0.5}', (None, None, 0.5, None, None)),
+        ("TEXT mem_utilization=nan", (None,) * 5),
+    ],
+)  # fmt: skip
+def test_load_reports(said, expected):
+    load = codec.load_report({"endpoint-load-metrics": said})
+    assert (load.held, load.queued, load.slots_used, load.memory_used, load.unread_thousands) == expected
+
+
+@pytest.mark.parametrize(
+    "said", ["", "JSON {", "JSON 5", "TEXT x", "TEXT mem_utilization=", "BIN xx", "JSON"]
+)
+def test_no_load_report(said):
+    assert codec.load_report({"endpoint-load-metrics": said}) is None
+
+
+@given(st.binary(max_size=200))
+def test_no_bytes_break_the_codecs(data):
+    for act in (Events().feed, codec.read_answer, codec.list_news):
+        try:
+            act(data)
+        except StrangeError:
+            pass
+    codec.load_report({"endpoint-load-metrics": "JSON " + data.decode("latin-1")})
+    codec.load_report({"endpoint-load-metrics": "TEXT " + data.decode("latin-1")})
+
+
+@given(st.binary(max_size=400))
+def test_no_bytes_break_the_parsers(data):
+    for parser in (ReqParser(100, 100), AnswerParser()):
+        try:
+            parser.feed(data)
+        except HttpError as problem:
+            assert 400 <= problem.status < 600
+
+
+@given(st.lists(st.integers(0, 80), max_size=6))
+def test_reqs_come_whole_whatever_the_borders(cuts):
+    data = b"POST /x HTTP/1.1\r\nA: 1\r\nA: 2\r\nContent-Length: 3\r\n\r\nabcGET /y HTTP/1.1\r\n\r\n"
+    parser, places = ReqParser(1000, 1000), sorted({0, *cuts, len(data)})
+    for start, end in zip(places, places[1:], strict=False):
+        parser.feed(data[start:end])
+    assert [(m.method, m.path, m.body) for m in parser.ready] == [("POST", "/x", b"abc"), ("GET", "/y", b"")]
+    assert parser.ready[0].headers["a"] == "1, 2"
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"GET / HTTP/1.1\r\nA: " + b"x" * 2000, 431),
+        (b"GET /" + b"x" * 2000, 431),
+        (b"POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n", 413),
+        (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n7d0\r\n" + b"x" * 2000 + b"\r\n", 413),
+        (b"\x00\x01\x02", 400),
+        (b"POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nUpgrade: h2c\r\nConnection: upgrade\r\n\r\n", 400),
+    ],
+    ids=range(7),
+)
+def test_bounds_on_a_req(data, status):
+    parser = ReqParser(1000, 1000)
+    with pytest.raises(HttpError) as problem:
+        for at in range(0, len(data), 64):
+            parser.feed(data[at : at + 64])
+    assert problem.value.status == status
