--- /dev/null
+++ b/benchmarks/baselines.py
@@ -0,0 +1,148 @@
+"""Baselines that take the decision module's place: round robin and random choice, on the same host.
+
+`python -m benchmarks.baselines random serve ...` takes the options of `lifthead serve`. They keep rule 2 and
+the budget, and nothing else that the module guards.
+"""
+
+import asyncio
+import random
+import sys
+from pathlib import Path
+
+from lifthead.cli import _fleet
+from lifthead.daemon import serve as daemon
+from lifthead.interface import Effect, Ending
+
+
+class Known:
+    """What the admin view shows of an engine."""
+
+    def __init__(self, entry, role):
+        self.name, self.zone, self.cell, self.role, self.ready = (
+            entry.engine,
+            entry.zone,
+            entry.cell,
+            role,
+            True,
+        )
+        self.cold_until = self.tokens = self.unread = self.strikes = self.failures = self.report_at = 0
+        self.out, self.report = {}, None
+
+
+class Baseline:
+    """Prompts under 4,096 tokens to any writer, longer ones to any reader, then any writer."""
+
+    def __init__(self, host, deployment):
+        self.host, self.deployment = host, deployment
+        self.chance = random.Random(deployment.seed)
+        self.engines, self.reqs, self.turn = {}, {}, 0
+
+    def on_engines(self, entries, whole_list):
+        for entry in entries:
+            known = self.engines.setdefault(entry.engine, Known(entry, self.deployment.roles[entry.kind]))
+            known.ready = entry.readiness == "ready"
+
+    def on_engines_unavailable(self):
+        pass
+
+    def pick(self, names):
+        raise NotImplementedError
+
+    def on_req(self, demand):
+        effect = self.deployment.groups[demand.group].effect
+        req = self.reqs[demand.id] = {
+            "demand": demand, "effect": effect, "forwards": 0, "out": None, "state": False, "over": False,
+            "due": self.host.now() + demand.budget, "begun": False,
+        }  # fmt: skip
+        self.host.wake(max(demand.budget - self.deployment.tick, 1), demand.id)
+        self.route(req)
+
+    def route(self, req):
+        demand = req["demand"]
+        reads = demand.prompt >= 4096 and not req["state"]
+        names = sorted(e.name for e in self.engines.values() if e.ready and (e.role == "read") == reads)
+        if not names or req["forwards"] >= self.deployment.max_forwards or self.host.now() >= req["due"]:
+            return self.end(req, aborted=False)
+        req["out"], req["reads"] = req["forwards"], reads
+        req["forwards"] += 1
+        return self.host.forward(demand.id, self.pick(names), req["due"])
+
+    def end(self, req, aborted):
+        req["over"] = True
+        at = req["demand"].id
+        if aborted:
+            self.host.abort(at)
+        else:
+            self.host.push_back(at, 100_000)
+        self.let_go(req)
+
+    def let_go(self, req):
+        at = req["demand"].id
+        if req["out"] is not None and not req["begun"]:
+            self.host.cancel(at, req["out"])
+        self.host.free_state(at)
+        if req["out"] is None:
+            self.reqs.pop(at, None)
+
+    def on_begun(self, req_id, number, took, streamed=True):
+        if req_id in self.reqs:
+            self.reqs[req_id]["begun"], self.reqs[req_id]["state"] = streamed, False
+
+    def on_ended(self, req_id, number, name, ending, took, note, final, report):
+        req = self.reqs.get(req_id)
+        if req is None:
+            return None
+        req["out"] = None
+        if final or req["over"] or req["begun"]:
+            self.host.free_state(req_id)
+            del self.reqs[req_id]
+            return None
+        if ending is Ending.READ:
+            req["state"] = True
+            return self.route(req)
+        if ending is Ending.BUSY and note == 1:
+            req["state"] = False
+        not_run = req["reads"] or ending in (Ending.BUSY, Ending.UNREACHABLE, Ending.NOT_SENT)
+        if not_run or req["effect"] is Effect.REPLAYABLE:
+            return self.route(req)
+        return self.end(req, aborted=True)
+
+    def on_expired(self, req_id):
+        req = self.reqs.get(req_id)
+        if req and not req["over"]:
+            req["over"] = True
+            self.let_go(req)
+
+    def on_wake(self, label):
+        req = self.reqs.get(label)
+        if req and not req["over"] and not req["begun"]:
+            self.end(req, aborted=True)
+
+    def on_probed(self, name, report):
+        pass
+
+
+class RandomChoice(Baseline):
+    def pick(self, names):
+        return self.chance.choice(names)
+
+
+class RoundRobin(Baseline):
+    def pick(self, names):
+        self.turn += 1
+        return names[self.turn % len(names)]
+
+
+KINDS = {"random": RandomChoice, "round-robin": RoundRobin}
+
+
+def main(kind, script, options):
+    given = dict(zip(options[::2], options[1::2], strict=True))
+    asyncio.run(daemon.serve(
+        _fleet(Path(script)), given["--router"], given.get("--list", ""), Path(given["--run"]),
+        int(given.get("--seed", 1)), daemon.logger(given.get("--log")), KINDS[kind],
+    ))  # fmt: skip
+
+
+if __name__ == "__main__":
+    main(sys.argv[1], sys.argv[2], sys.argv[3:])
--- a/lifthead/chat/server.py
+++ b/lifthead/chat/server.py
@@ -52,17 +52,21 @@
             )
         )
 
-    async def send(self, data: bytes) -> None:
-        """Events of a begun stream; waits while the client is slower than its engine."""
+    def send(self, data: bytes) -> bool:
+        """Events of a begun stream; False if the client is the slower one and `room` must be awaited."""
         if not self.over:
             self._put(http1.chunk(data))
-            try:
-                async with asyncio.timeout(self._patience):
-                    await self._writer.drain()
-            except TimeoutError:  # guards memory and engines against a client that takes nothing
-                self._writer.transport.abort()
-            except ConnectionError:
-                pass  # the watch sees it
+        return self._writer.transport.get_write_buffer_size() <= READ
+
+    async def room(self) -> None:
+        """Waits until the client has taken most of what was sent."""
+        try:
+            async with asyncio.timeout(self._patience):
+                await self._writer.drain()
+        except TimeoutError:  # guards memory and engines against a client that takes nothing
+            self._writer.transport.abort()
+        except ConnectionError:
+            pass  # the watch sees it
 
     def end(self, data: bytes = b"") -> None:
         """The last events of a begun stream."""
--- a/lifthead/daemon/host.py
+++ b/lifthead/daemon/host.py
@@ -10,6 +10,7 @@
 import asyncio
 import contextlib
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -65,6 +66,7 @@
     ended_at: int = 0
     ended: str = ""  # "done", "pushed back", "aborted" or "left": exactly one, once
     trail: list[str] = field(default_factory=list)
+    timers: list[asyncio.TimerHandle] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -87,6 +89,7 @@
         gauges: Gauges,
         log: Any,
         grace: int,
+        decide: Callable[[Any, Deployment], control.Router] = control.Router,
     ) -> None:
         self.name = name
         self.limits = limits
@@ -105,11 +108,11 @@
             f"{time.time_ns() // 1_000_000:x}"  # engines must not take this life's reqs for the last one's
         )
         self._loop = asyncio.get_running_loop()
-        self._timers: set[asyncio.TimerHandle] = set()
+        self._taking: InHand | None = None  # the req that the module is being told of
         self._stopped = False
         self.empty = asyncio.Event()
         self.empty.set()
-        self.router = control.Router(self, deployment)
+        self.router = decide(self, deployment)
 
     # What comes in.
 
@@ -163,6 +166,7 @@
         self.empty.clear()
         self.gauges.taken(asked.group)
         reply.left = lambda: self._left(hand)
+        self._taking = hand
         self.router.on_req(
             Demand(
                 req_id,
@@ -178,6 +182,7 @@
                 asked.again,
             )
         )
+        self._taking = None
         await reply.finished.wait()
         self._forget(hand)
 
@@ -195,12 +200,13 @@
         return now()
 
     def wake(self, after: int, label: int) -> None:
-        def ring() -> None:
-            self._timers.discard(timer)
-            self.router.on_wake(label)
+        timer = self._loop.call_later(max(after, 0) / 1e6, self._ring, label)
+        if self._taking:  # a wake-up for a req is of no use once the req is over
+            self._taking.timers.append(timer)
 
-        timer = self._loop.call_later(max(after, 0) / 1e6, ring)
-        self._timers.add(timer)
+    def _ring(self, label: int) -> None:
+        if not self._stopped:
+            self.router.on_wake(label)
 
     def forward(self, req: int, engine: str, abandon_at: int) -> None:
         hand = self.in_hand[req]
@@ -331,24 +337,36 @@
         events, gathered = codec.Events(), None if hand.asked.streamed else Gathered()
         held_back: list[bytes] = []
         stalled = self.limits.stalled_for / 1e6
+        guarded_at = 0.0
         while data := await connection.more():
-            for event, text, only_usage in events.feed(data):
-                if gathered:
-                    gathered.add(event[5:])
-                elif not only_usage or hand.asked.wants_usage:
-                    held_back.append(event)
-                if text and not hand.begun:
-                    self._begin(hand, out, limit)
-            if hand.begun and not gathered and held_back:
+            while data:
+                if hand.begun and not gathered:
+                    passes, looked_at = events.plain(data)
+                    held_back.append(passes)
+                    data = b""
+                else:  # one event at a time until the stream has begun
+                    cut = data.find(b"\n\n") + 2
+                    looked_at, data = (data[:cut], data[cut:]) if cut > 1 and not gathered else (data, b"")
+                for event, text, only_usage in events.feed(looked_at) if looked_at else ():
+                    if gathered:
+                        gathered.add(event[5:])
+                    elif not only_usage or hand.asked.wants_usage:
+                        held_back.append(event)
+                    if text and not hand.begun:
+                        self._begin(hand, out, limit)
+            if events.ended:
+                break
+            if hand.begun and not gathered:
                 if hand.ended:
                     return Sight.CALLED_OFF, 0
-                limit.reschedule(None)  # a slow client is not a stalled engine
-                await hand.reply.send(b"".join(held_back))
+                if (ready := b"".join(held_back)) and not hand.reply.send(ready):
+                    limit.reschedule(None)  # a slow client is not a stalled engine
+                    await hand.reply.room()
+                    guarded_at = 0.0
                 held_back.clear()
-            if hand.begun and not gathered:
-                limit.reschedule(self._loop.time() + stalled)
-            if events.ended:
-                break
+                if self._loop.time() > guarded_at + stalled / 8:
+                    guarded_at = self._loop.time()
+                    limit.reschedule(guarded_at + stalled * 9 / 8)
         if not events.ended:
             return Sight.CUT, 0
         if gathered and not hand.ended:
@@ -431,6 +449,8 @@
             return
         if not self.in_hand:
             self.empty.set()
+        for timer in hand.timers:
+            timer.cancel()
         asked = hand.asked
         self._log.info(
             "req",
@@ -460,8 +480,6 @@
 
     def close(self) -> None:
         self._stopped = True
-        for timer in self._timers:
-            timer.cancel()
         for peer in self.peers.values():
             peer.link.close()
 
--- a/lifthead/daemon/serve.py
+++ b/lifthead/daemon/serve.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import functools
+import gc
 import os
 import signal
+import sys
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -13,6 +16,7 @@
 from lifthead.chat import codec
 from lifthead.chat.codec import BadReqError, Door
 from lifthead.chat.server import Clients, Reply
+from lifthead.control import Router
 from lifthead.daemon.gauges import Gauges
 from lifthead.daemon.host import Host, now
 from lifthead.deployment.derive import deployment
@@ -27,12 +31,21 @@
 
 
 class Daemon:
-    def __init__(self, fleet: Fleet, name: str, seed: int, log: Any, tasks: asyncio.TaskGroup) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        name: str,
+        seed: int,
+        log: Any,
+        tasks: asyncio.TaskGroup,
+        decide: Callable[..., Router] = Router,
+    ) -> None:
         self.fleet, self.spec, self.log = fleet, fleet.routers[name], log
         self.gauges = Gauges()
         self.door = Door(fleet)
         start = deployment(fleet, name, seed)
-        self.host = Host(name, start, fleet.limits, tasks, self.gauges, log, int(fleet.rules.drain_grace))
+        grace = int(fleet.rules.drain_grace)
+        self.host = Host(name, start, fleet.limits, tasks, self.gauges, log, grace, decide)
         self.clients = Clients(fleet.limits, self.answer)
         self.stopping = asyncio.Event()
         self.refusing = self.drained = False
@@ -158,12 +171,23 @@
     )
 
 
-async def serve(fleet: Fleet, name: str, list_url: str, run_dir: Path, seed: int, log: Any) -> None:
-    """Runs the router until it is told to stop; returns once all that it had taken is answered."""
+async def serve(
+    fleet: Fleet,
+    name: str,
+    list_url: str,
+    run_dir: Path,
+    seed: int,
+    log: Any,
+    decide: Callable[..., Router] = Router,
+) -> None:
+    """Runs the router until it is told to stop; returns once all that it had taken is answered. `decide`
+    takes the module's place where baselines are measured beside it."""
     loop = asyncio.get_running_loop()
+    gc.freeze()  # what start-up made stays; a full collection would stall streams for nothing
+    gc.set_threshold(5_000, 20, 100)
     spec, limits = fleet.routers[name], fleet.limits
     async with asyncio.TaskGroup() as tasks:
-        daemon = Daemon(fleet, name, seed, log, tasks)
+        daemon = Daemon(fleet, name, seed, log, tasks, decide)
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, daemon.stopping.set)
         # Listening to none until the health side can speak: a balancer never finds a port that lies.
@@ -241,14 +265,14 @@
 def logger(path: str | None) -> Any:
     """JSON lines to this file, else to standard error."""
     out = open(path, "a", buffering=1) if path else None  # noqa: SIM115 - open as long as the process
-    import sys
-
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper("iso", utc=True),
             structlog.processors.dict_tracebacks,
-            structlog.processors.JSONRenderer(),
+            structlog.processors.JSONRenderer(
+                lambda line, **_: msgspec.json.encode(line, enc_hook=str).decode()
+            ),
         ],
         logger_factory=structlog.PrintLoggerFactory(out or sys.stderr),
         cache_logger_on_first_use=True,
--- a/lifthead/engines/codec.py
+++ b/lifthead/engines/codec.py
@@ -171,6 +171,10 @@
     return Sight.REFUSED_UNMARKED
 
 
+# What an event of text can't hold: in text, quotes are escaped.
+_MARKS = (b"[DONE]", b'"usage":{', b'"usage": {', b'"error"', b"\r")
+
+
 class Events:
     """Cuts a streamed body into whole events, whatever the bytes' borders, and reads what they say."""
 
@@ -182,6 +186,23 @@
         self.tokens = 0  # events with text
         self.usage: _Usage | None = None
 
+    def plain(self, data: bytes) -> tuple[bytes, bytes]:
+        """Whole events that may pass as they are, and what is left to `feed`: bytes that hold nothing but
+        events of text are looked at as a whole and not one by one (docs/performance.md)."""
+        if self._left:
+            data, self._left = self._left + data, b""
+        marked = min((at for mark in _MARKS if (at := data.find(mark)) >= 0), default=len(data))
+        end = data.rfind(b"\n\n", 0, marked) + 2
+        whole = data[:end]
+        count = whole.count(b"\n\n")
+        if end < 2 or not whole.startswith(b"data: {") or whole.count(b"\n\ndata: {") != count - 1:
+            return b"", data
+        self.tokens += count
+        if marked == len(data):
+            self._left = data[end:]
+            return whole, b""
+        return whole, data[end:]
+
     def feed(self, data: bytes) -> list[tuple[bytes, bool, bool]]:
         """Whole events as (bytes, whether text begins or goes on with it, whether it is only the usage)."""
         data = (self._left + data).replace(b"\r\n", b"\n") if self._left or b"\r" in data else data
--- a/lifthead/standins/engine.py
+++ b/lifthead/standins/engine.py
@@ -223,7 +223,8 @@
                     server, asked, body, forward, transfer if fetches else None, prompt, kept, most
                 )
         finally:
-            self.record.put("end", id=forward, how=how)
+            # Work may go on after its peer has closed; to its router the forward is out no more from then on.
+            self.record.put("end", id=forward, how=how, closed=asked.closed_at)
 
     # Reading.
 
--- a/lifthead/standins/verify.py
+++ b/lifthead/standins/verify.py
@@ -127,7 +127,7 @@
             out[line["id"]].ran = at
         elif what == "end" and line["id"] in out:
             forward = out.pop(line["id"])
-            forward.until, forward.how = at, line["how"]
+            forward.until, forward.how = line.get("closed") or at, line["how"]
         elif what == "held":
             held[line["id"]] = at
         elif what in ("taken", "let_go"):
--- a/lifthead/standins/wire.py
+++ b/lifthead/standins/wire.py
@@ -5,6 +5,8 @@
 
 import h11
 
+from lifthead.standins.record import now
+
 
 @dataclass(slots=True)
 class Asked:
@@ -12,7 +14,8 @@
     path: str
     headers: dict[str, str]
     body: bytes = b""
-    closed: asyncio.Event = field(default_factory=asyncio.Event)  # the peer went away
+    closed: asyncio.Event = field(default_factory=asyncio.Event)  # the peer went away ...
+    closed_at: int = 0  # ... at this time
 
 
 class Server:
@@ -51,7 +54,7 @@
             except ConnectionError:
                 data = b""
             if not data:
-                self.gone = True
+                self.gone, asked.closed_at = True, now()
                 asked.closed.set()
                 return
 
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -146,7 +146,7 @@
 
 @pytest.mark.parametrize("model", ["m", "once"])
 def test_a_writer_that_loses_its_answer(tmp_path, model):
-    """The work is done and nothing comes: a begun stream ends with an error event, an unbegun one in its budget."""
+    """The work is done, nothing comes: a begun stream ends with an error event, else the budget ends it."""
 
     async def play():
         async with Loopback(tmp_path, engines=("rd", "wr", "wr2")) as loop:
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -45,6 +45,18 @@
     assert texts == [*WORDS, None] and events.ended and events.usage.completion_tokens == 5
 
 
+@given(st.lists(st.integers(0, len(STREAM)), max_size=12))
+def test_the_short_way_gives_the_same_bytes(cuts):
+    one, other, passed, looked = Events(), Events(), [], []
+    places = sorted({0, *cuts, len(STREAM)})
+    for start, end in zip(places, places[1:], strict=False):
+        data = STREAM[start:end]
+        whole, rest = one.plain(data)
+        passed += [whole, *(event for event, _, _ in one.feed(rest))]
+        looked += [event for event, _, _ in other.feed(data)]
+    assert b"".join(passed) == b"".join(looked) and one.ended
+
+
 @pytest.mark.parametrize(
     "data",
     [
