--- a/lifthead/chat/codec.py
+++ b/lifthead/chat/codec.py
@@ -40,6 +40,7 @@
     max_completion_tokens: Annotated[int, Meta(ge=1)] | None = None
     prompt_cache_key: str | None = None
     user: str | None = None
+    stop: str | list[str] | None = None
 
 
 _decode = msgspec.json.Decoder(_ChatBody).decode
@@ -65,6 +66,7 @@
     wants_usage: bool
     client_id: str  # the client's own id of it, "" if none
     key: str  # by which a repeat of a keyed req is known
+    stop: list[str]  # sequences that end the answer
     body: dict[str, Any]  # as it came, for the engines
 
 
@@ -138,6 +140,7 @@
             wants_usage=bool(body.stream_options and body.stream_options.include_usage),
             client_id=headers.get("x-client-request-id", "")[:128],
             key=headers.get("idempotency-key", "")[:255],
+            stop=[body.stop] if isinstance(body.stop, str) else body.stop or [],
             body=raw,
         )
 
--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -190,6 +190,10 @@
         wanted_in = min(target, demand.budget)  # what a client won't wait for is not begun
         req = Req(demand, group, group.effect, demand.prompt, now + demand.budget, target, wanted_in)
         req.over_share = self._over_share(demand.tenant, now)
+        if demand.ran:  # the rest of a stream that broke: rule 2 counts what ran, and it goes elsewhere
+            req.may_have_run = self.engines.get(demand.ran)
+            req.run_window_ends = demand.ran_at + group.keyed_for
+            req.tried.add(demand.ran)
         self.reqs[demand.id] = req
         self.host.wake(max(demand.budget - self.tick, 1), demand.id << 2)
         self._route(req)
@@ -267,7 +271,7 @@
             return
         if ending is Ending.READ:
             req.held_at = forward.engine
-            req.tried.clear()
+            req.tried &= {req.demand.ran}
             return self._route(req)
         req.tried.add(name)
         if ending is Ending.BUSY and note == 1:
--- a/lifthead/daemon/gauges.py
+++ b/lifthead/daemon/gauges.py
@@ -17,6 +17,15 @@
         self._first = Histogram(
             "lifthead_first_token_seconds", "Taken to first text", ["group"], buckets=SECONDS, **kind
         )
+        self._resumed = Counter(
+            "lifthead_streams_broken",
+            "Broken streams, what became of them",
+            ["cause", "became"],
+            **kind,
+        )
+        self._gap = Histogram("lifthead_resume_gap_seconds", "Break to new text", buckets=SECONDS, **kind)
+        self.read_anew = Counter("lifthead_tokens_read_anew", "Tokens read again for resumes", **kind)
+        self.waiting = Gauge("lifthead_streams_waiting", "Broken streams that wait for a new place", **kind)
         self.releases_lost = Counter("lifthead_releases_lost", "Unanswered asks to let a state go", **kind)
         self.lag = Gauge("lifthead_loop_lag_seconds", "Longest stall of the loop in the last second", **kind)
         self.in_hand = Gauge("lifthead_reqs_in_hand", "Reqs in hand", **kind)
@@ -34,5 +43,11 @@
     def first(self, group: str, took: int) -> None:
         self._first.labels(group).observe(took / 1e6)
 
+    def broken(self, cause: str, became: str) -> None:
+        self._resumed.labels(cause, became).inc()
+
+    def gap(self, took: int) -> None:
+        self._gap.observe(took / 1e6)
+
     def page(self) -> bytes:
         return generate_latest(self.registry)
--- a/lifthead/daemon/host.py
+++ b/lifthead/daemon/host.py
@@ -25,7 +25,12 @@
 from lifthead.engines.link import Connection, Link
 from lifthead.http1 import HttpError
 from lifthead.interface import Demand, Deployment, Effect, Ending, EngineEntry, LoadReport
+from lifthead.resume.notice import Notice
+from lifthead.resume.rescue import Broken, Draining, Rescue, to_move
+from lifthead.resume.splice import SeamError, Splice, Written, continuation
+from lifthead.resume.splice import obstacle as splice_obstacle
 
+LOOK_EVERY = 0.05  # seconds between looks at running streams
 REST_WITHIN = 0.02  # seconds for the last bytes after a stream's end
 ASK_WITHIN = 1.0  # seconds that letting go or a probe may take; the module is told nothing of a lost one
 
@@ -45,13 +50,16 @@
     task: asyncio.Task | None = None
     started: bool = False
     called_off: bool = False
+    lost: str = ""  # why its stream is given up, though nobody left
+    tokens: int = 0  # answer tokens so far
 
 
 @dataclass(slots=True)
 class InHand:
     """A req that was taken and whose forwards are not all over."""
 
-    id: int
+    id: int  # the module's, another one for each leg
+    serial: int  # this router's, once and for all
     name: str
     asked: Asked
     reply: Reply
@@ -61,8 +69,15 @@
     handle: Any = None  # of the state that waits at a reader
     held_at: str = ""
     held_by: str = ""  # the forward that left it there
-    begun: bool = False
+    begun: bool = False  # this leg's stream runs
     first_at: int = 0
+    sent: int = 0  # forwards of all legs
+    body: dict[str, Any] = field(default_factory=dict)  # this leg's req to engines
+    written: Written = field(default_factory=Written)
+    legs: int = 0  # times that the stream was placed again
+    broken_at: int = 0
+    cause: str = ""  # of the last break
+    ran: tuple[str, int] = ("", 0)  # where the broken stream ran, and when its forward was sent
     ended_at: int = 0
     ended: str = ""  # "done", "pushed back", "aborted" or "left": exactly one, once
     trail: list[str] = field(default_factory=list)
@@ -77,6 +92,7 @@
     kind: str
     readiness: str
     told_at: int
+    drains_by: int = 0  # on this router's clock, 0: no limit
 
 
 class Host:
@@ -89,6 +105,7 @@
         gauges: Gauges,
         log: Any,
         grace: int,
+        resumes: bool,
         decide: Callable[[Any, Deployment], control.Router] = control.Router,
     ) -> None:
         self.name = name
@@ -100,6 +117,7 @@
         self._tasks = tasks
         self._log = log
         self._grace = grace
+        self._resumes = resumes
         self._next = 1
         self._roles = deployment.roles
         self._effects = {group.name: group.effect for group in deployment.groups.values()}
@@ -110,6 +128,10 @@
         self._loop = asyncio.get_running_loop()
         self._taking: InHand | None = None  # the req that the module is being told of
         self._stopped = False
+        self._streams: dict[int, InHand] = {}  # whose stream has begun and may break, by serial
+        self.notice = Notice(int(limits.stalled_for))
+        self.rescue = Rescue()
+        self._groups = deployment.groups
         self.empty = asyncio.Event()
         self.empty.set()
         self.router = decide(self, deployment)
@@ -129,6 +151,7 @@
                 self.peers[listed.name] = Peer(link, listed.kind, listed.readiness, at)
             elif known.readiness != listed.readiness:
                 known.readiness, known.told_at = listed.readiness, at
+            self.peers[listed.name].drains_by = listed.drains_by - self._wall if listed.drains_by else 0
             up_since = max(listed.started_at - self._wall, 1) if listed.started_at else 0
             entries.append(
                 EngineEntry(
@@ -161,7 +184,8 @@
     async def take(self, asked: Asked, reply: Reply) -> None:
         """A client's req, from its demand to the end of its answer."""
         req_id, self._next = self._next, self._next + 1
-        hand = InHand(req_id, f"{self.name}-{self._life}-{req_id}", asked, reply, now())
+        hand = InHand(req_id, req_id, f"{self.name}-{self._life}-{req_id}", asked, reply, now())
+        hand.body = asked.body
         self.in_hand[req_id] = hand
         self.empty.clear()
         self.gauges.taken(asked.group)
@@ -191,6 +215,8 @@
         if not self._answered(hand, "left"):
             return
         self.router.on_expired(hand.id)
+        self.rescue.settled(hand.serial)
+        self._streams.pop(hand.serial, None)
         if hand.begun and hand.out:
             self.cancel(hand.id, hand.out.number)  # a stream that nobody reads
 
@@ -213,6 +239,7 @@
         reading = self._roles.get(self.peers[engine].kind, "both") == "read"
         hand.out = Out(hand.forwards, engine, reading, now())
         hand.forwards += 1
+        hand.sent += 1
         hand.out.task = self._tasks.create_task(self._carry(hand, hand.out, abandon_at))
 
     def cancel(self, req: int, forward: int) -> None:
@@ -232,6 +259,8 @@
 
     def push_back(self, req: int, hold_off: int) -> None:
         hand = self.in_hand[req]
+        if hand.reply.begun:
+            return self._break_off(hand, "no place was found for the rest of it")
         if self._answered(hand, "pushed back"):
             headers = {
                 **self._headers(hand),
@@ -244,6 +273,8 @@
 
     def abort(self, req: int) -> None:
         hand = self.in_hand[req]
+        if hand.reply.begun:
+            return self._break_off(hand, "the rest of it could not be had in time")
         if self._answered(hand, "aborted"):
             late = now() - hand.taken_at >= hand.asked.budget * 9 // 10
             status, code = (504, "deadline") if late else (502, "aborted")
@@ -262,7 +293,7 @@
     async def _carry(self, hand: InHand, out: Out, abandon_at: int) -> None:
         """From the sending of a forward to the telling of its ending; owns its connection throughout."""
         out.started = True
-        peer, name = self.peers[out.engine], f"{hand.name}.{out.number}"
+        peer, name = self.peers[out.engine], f"{hand.name}.{hand.sent - 1}"
         connection: Connection | None = None
         sight, note, report = Sight.CALLED_OFF, 0, None
         try:
@@ -285,10 +316,10 @@
         except asyncio.CancelledError:
             if not out.called_off:
                 raise  # the process ends
-            sight = Sight.CALLED_OFF
+            sight = Sight.STALLED if out.lost else Sight.CALLED_OFF
         except (OSError, EOFError):
             sight = Sight.CUT
-        except (HttpError, StrangeError) as problem:
+        except (HttpError, StrangeError, SeamError) as problem:
             sight = Sight.STRANGE
             self._log.warning("strange answer", req=hand.name, engine=out.engine, said=str(problem)[:200])
         if connection and sight in (Sight.READ, Sight.WRITTEN, Sight.TURNED_AWAY, Sight.STATE_GONE):
@@ -308,9 +339,9 @@
         """Sends a forward and reads its answer: what was seen, tokens found kept, the load told with it."""
         asked, address = hand.asked, peer.link.address
         if out.reading:
-            sent = codec.read_req(address, name, asked.client_id, asked.body)
+            sent = codec.read_req(address, name, asked.client_id, hand.body)
         else:
-            sent = codec.write_req(address, name, asked.client_id, asked.key, asked.body, hand.handle)
+            sent = codec.write_req(address, name, asked.client_id, asked.key, hand.body, hand.handle)
         out.sent_at = now()
         await connection.send(sent)
         head = await connection.head()
@@ -327,20 +358,24 @@
             return Sight.READ, kept, report
         if report:
             self.router.on_probed(out.engine, report)  # now, not when the stream ends
-        return *await self._stream(hand, out, connection, limit), None
+        splice = None
+        if hand.legs:
+            splice = Splice(hand.written, asked.stop, codec.continues_at(head.headers))
+        return *await self._stream(hand, out, connection, limit, splice), None
 
     async def _stream(
-        self, hand: InHand, out: Out, connection: Connection, limit: asyncio.Timeout
+        self, hand: InHand, out: Out, connection: Connection, limit: asyncio.Timeout, splice: Splice | None
     ) -> tuple[Sight, int]:
         """Relays a writer's events; holds back what comes before the first text, so that until then another
-        forward is possible."""
+        forward is possible. With a splice, they go on from where the client's stream broke."""
         events, gathered = codec.Events(), None if hand.asked.streamed else Gathered()
         held_back: list[bytes] = []
         stalled = self.limits.stalled_for / 1e6
         guarded_at = 0.0
         while data := await connection.more():
+            tokens = events.tokens
             while data:
-                if hand.begun and not gathered:
+                if hand.begun and not gathered and not splice:
                     passes, looked_at = events.plain(data)
                     held_back.append(passes)
                     data = b""
@@ -351,29 +386,44 @@
                     if gathered:
                         gathered.add(event[5:])
                     elif not only_usage or hand.asked.wants_usage:
+                        if splice:
+                            new = splice.event(event[5:])
+                            if new is None:
+                                continue  # the client has it
+                            event = b"data: " + new + b"\n\n"
                         held_back.append(event)
                     if text and not hand.begun:
                         self._begin(hand, out, limit)
+            out.tokens = events.tokens
+            if splice and splice.stopped:
+                events.ended = True
             if events.ended:
                 break
             if hand.begun and not gathered:
                 if hand.ended:
                     return Sight.CALLED_OFF, 0
-                if (ready := b"".join(held_back)) and not hand.reply.send(ready):
+                ready = b"".join(held_back)
+                held_back.clear()
+                hand.written.add(ready)
+                if events.tokens > tokens:
+                    self.notice.text(hand.serial, now())
+                if ready and not hand.reply.send(ready):
                     limit.reschedule(None)  # a slow client is not a stalled engine
+                    self.notice.rests(hand.serial)
                     await hand.reply.room()
+                    self.notice.goes_on(hand.serial, now())
                     guarded_at = 0.0
-                held_back.clear()
                 if self._loop.time() > guarded_at + stalled / 8:
                     guarded_at = self._loop.time()
                     limit.reschedule(guarded_at + stalled * 9 / 8)
         if not events.ended:
             return Sight.CUT, 0
+        self.notice.ended(hand.serial)
         if gathered and not hand.ended:
             if self._answered(hand, "done"):
                 hand.reply.whole(200, gathered.whole(), {**self._headers(hand), **JSON})
         elif not hand.ended and self._answered(hand, "done"):
-            if not hand.begun:
+            if not hand.reply.begun:
                 hand.reply.begin(self._headers(hand))
             hand.reply.end(b"".join(held_back) + b"data: [DONE]\n\n")
         with contextlib.suppress(TimeoutError, OSError, HttpError):
@@ -382,16 +432,35 @@
         return Sight.WRITTEN, codec.kept(events.usage)
 
     def _begin(self, hand: InHand, out: Out, limit: asyncio.Timeout) -> None:
-        hand.begun, hand.first_at = True, now()
-        hand.handle = None  # the writer has fetched it
-        self.gauges.first(hand.asked.group, hand.first_at - hand.taken_at)
-        self.router.on_begun(hand.id, out.number, hand.first_at - out.sent_at, hand.asked.streamed)
+        at = now()
+        hand.begun, hand.handle = True, None  # the writer has fetched what was held
+        self.router.on_begun(hand.id, out.number, at - out.sent_at, hand.asked.streamed)
+        if hand.legs:
+            self.rescue.settled(hand.serial)
+            self.gauges.gap(at - hand.broken_at)
+            self.gauges.broken(hand.cause, "resumed")
+            self._log.info(
+                "stream resumed",
+                req=hand.name,
+                cause=hand.cause,
+                engine=out.engine,
+                gap_us=at - hand.broken_at,
+                written=hand.written.tokens,
+                times=hand.legs,
+            )
+        else:
+            hand.first_at = at
+            self.gauges.first(hand.asked.group, at - hand.taken_at)
         if hand.asked.streamed and not hand.ended:
             limit.reschedule(None)
-            hand.reply.begin(self._headers(hand))
+            self._streams[hand.serial] = hand
+            self.notice.begun(hand.serial, out.engine, at)
+            if not hand.reply.begun:
+                hand.reply.begin(self._headers(hand))
 
     def _over(self, hand: InHand, out: Out, sight: Sight, note: int, report: LoadReport | None) -> None:
-        """Tells how a forward ended. A stream that broke in front of its client ends with an error event."""
+        """Tells how a forward ended. A stream that broke in front of its client goes to the rescue, or ends
+        with an error event."""
         ending, mark = ENDINGS[sight]
         if sight is Sight.OUT_OF_TIME and hand.begun and hand.asked.streamed:
             sight, (ending, mark) = Sight.STALLED, ENDINGS[Sight.STALLED]
@@ -399,15 +468,15 @@
         hand.out = None
         hand.trail.append(f"{out.engine}:{sight.name.lower()}")
         self.gauges.forwarded(ending)
+        self._streams.pop(hand.serial, None)
+        self.notice.ended(hand.serial)
+        waits = False
         if hand.begun and ending is not Ending.DONE:
-            if hand.asked.streamed:
-                if self._answered(hand, "aborted"):
-                    hand.reply.end(
-                        chat.error_event("stream_broken", f"the stream can't go on: {sight.value}")
-                    )
-            else:
+            if not hand.asked.streamed:
                 hand.begun = False  # nothing of it has reached the client
-        final = ending is Ending.DONE or hand.ended != ""
+            elif not hand.ended:
+                waits = self._broken(hand, out, sight)
+        final = ending is Ending.DONE or hand.ended != "" or waits
         self.router.on_ended(
             hand.id, out.number, out.engine, ending, now() - out.sent_at, note or mark, final, report
         )
@@ -415,6 +484,134 @@
             self._release(hand.held_at, hand.held_by)  # guards rule 5 where the module has forgotten the req
             hand.handle = None
         self._forget(hand)
+        if waits:
+            self._place()
+
+    # Streams that outlive a writer (lifthead/resume/).
+
+    def _broken(self, hand: InHand, out: Out, sight: Sight) -> bool:
+        """A stream broke. True if it waits for another place; else its client has had an end."""
+        written, asked = hand.written.settle(), hand.asked
+        hand.broken_at, hand.cause = now(), out.lost or sight.name.lower()
+        if written.finished:  # only the last events are missing: the answer is whole
+            if self._answered(hand, "done"):
+                hand.reply.end(b"data: [DONE]\n\n")
+            self.gauges.broken(hand.cause, "whole already")
+            return False
+        blocked = splice_obstacle(asked.body) or ("a tool call" if written.tools else "")
+        left = asked.max_out - written.tokens
+        broken = Broken(
+            stream=hand.serial,
+            tenant=asked.tenant,
+            group=self._groups[asked.group],
+            written=written.tokens,
+            to_read=asked.prompt + written.tokens,
+            left=max(left, 1),
+            times=hand.legs,
+            ran_at=out.sent_at,
+            obstacle=blocked,
+            broken_at=hand.broken_at,
+        )
+        why = self.rescue.lost(broken) if self._resumes else "resume is off"
+        self._log.warning(
+            "stream broken",
+            req=hand.name,
+            engine=out.engine,
+            cause=hand.cause,
+            written=written.tokens,
+            placed_again=not why,
+            why=why,
+        )
+        if why:
+            self._break_off(hand, why)
+            return False
+        hand.begun, hand.ran = False, (out.engine, out.sent_at)
+        self._streams[hand.serial] = hand
+        return True
+
+    def _break_off(self, hand: InHand, why: str) -> None:
+        """The end of a begun stream that can't go on: an error event, never a silent end."""
+        self.rescue.settled(hand.serial)
+        self._streams.pop(hand.serial, None)
+        if self._answered(hand, "aborted"):
+            self.gauges.broken(hand.cause or "stopped", "aborted")
+            hand.reply.end(chat.error_event("stream_broken", f"the stream can't go on: {why}"))
+
+    def _place(self) -> None:
+        """Streams whose turn it is become reqs of the module again, with the answer so far as prompt."""
+        self.rescue.running = len(self._streams) - self.rescue.waiting
+        for broken in self.rescue.next(now()):
+            hand = self._streams[broken.stream]
+            asked, at = hand.asked, now()
+            del self.in_hand[hand.id]
+            hand.id, self._next = self._next, self._next + 1
+            self.in_hand[hand.id] = hand
+            hand.legs, hand.forwards = hand.legs + 1, 0
+            hand.body = continuation(asked.body, hand.written)
+            self.gauges.read_anew.inc(broken.to_read)
+            engine, ran_at = hand.ran
+            self._taking = hand
+            self.router.on_req(
+                Demand(
+                    hand.id,
+                    asked.group,
+                    asked.tenant,
+                    self.rescue.budget(broken, at),
+                    broken.to_read,
+                    broken.left,
+                    asked.session,
+                    asked.beginning,
+                    asked.beginning_len,
+                    0,
+                    True,
+                    engine,
+                    ran_at,
+                )
+            )
+            self._taking = None
+
+    def _lose(self, serial: int, cause: str) -> None:
+        """Gives up a running stream's forward: its connection is cut, and late bytes of it reach nobody."""
+        hand = self._streams.get(serial)
+        if hand and hand.begun and hand.out and not hand.out.called_off:
+            hand.out.lost = cause
+            self.cancel(hand.id, hand.out.number)
+
+    async def look_after_streams(self) -> None:
+        """Looks for silent writers, for streams that would outlive a drain, and for those that waited too
+        long."""
+        then = self._loop.time()
+        while True:
+            await asyncio.sleep(LOOK_EVERY)
+            late = self._loop.time() - then - LOOK_EVERY
+            then = self._loop.time()
+            if late > LOOK_EVERY:
+                self.notice.stalled(round(late * 1e6))
+                continue  # what came meanwhile is read first
+            at = now()
+            for loss in self.notice.lost(at):
+                self._lose(loss.stream, loss.cause)
+            for serial in to_move(self._outliving(), at, self.rescue.places - self.rescue.waiting):
+                self._lose(serial, "drain")
+            for broken in self.rescue.too_late(at):
+                self._break_off(self._streams[broken.stream], "no place was free in time")
+            self._place()
+            self.gauges.waiting.set(self.rescue.waiting)
+
+    def _outliving(self) -> list[Draining]:
+        """Running streams at engines whose drain has a time limit, those that can be moved."""
+        due = {name for name, peer in self.peers.items() if peer.drains_by and peer.readiness == "draining"}
+        found = []
+        for serial, hand in self._streams.items() if due else ():
+            out, group = hand.out, self._groups[hand.asked.group]
+            if not (out and hand.begun and out.engine in due and not out.called_off and out.tokens):
+                continue
+            if group.effect is Effect.NON_REPLAYABLE or splice_obstacle(hand.asked.body):
+                continue
+            pace = (now() - out.sent_at) // out.tokens
+            left = max(hand.asked.max_out - hand.written.tokens - out.tokens, 1)
+            found.append(Draining(serial, self.peers[out.engine].drains_by, left, pace, out.tokens))
+        return found
 
     def _release(self, engine: str, forward: str) -> None:
         if not self._stopped:
@@ -470,7 +667,7 @@
         for hand in list(self.in_hand.values()):
             self._log.error("aborted by the stop", req=hand.name)
             if self._answered(hand, "aborted"):
-                if hand.begun and hand.asked.streamed:
+                if hand.reply.begun:
                     hand.reply.end(chat.error_event("stopping", "this router stops"))
                 else:
                     hand.reply.whole(502, chat.error(502, "stopping", "aborted: this router stops"))
--- a/lifthead/daemon/serve.py
+++ b/lifthead/daemon/serve.py
@@ -44,8 +44,10 @@
         self.gauges = Gauges()
         self.door = Door(fleet)
         start = deployment(fleet, name, seed)
-        grace = int(fleet.rules.drain_grace)
-        self.host = Host(name, start, fleet.limits, tasks, self.gauges, log, grace, decide)
+        grace, resumes = int(fleet.rules.drain_grace), fleet.rules.resume
+        self.host = Host(
+            name, start, fleet.limits, tasks, self.gauges, log, grace, fleet.rules.resume, decide
+        )
         self.clients = Clients(fleet.limits, self.answer)
         self.stopping = asyncio.Event()
         self.refusing = self.drained = False
@@ -207,7 +209,7 @@
         before = os.umask(0o077)
         desk = await asyncio.start_unix_server(functools.partial(admin.serve, daemon.answers()), str(socket))
         os.umask(before)
-        service = [tasks.create_task(daemon.measure())]
+        service = [tasks.create_task(daemon.measure()), tasks.create_task(daemon.host.look_after_streams())]
         if list_url:
             service.append(
                 tasks.create_task(follow(list_url, name, daemon.host.on_list, daemon.host.on_list_lost, log))
--- a/lifthead/deployment/fleet.py
+++ b/lifthead/deployment/fleet.py
@@ -85,6 +85,7 @@
     max_forwards: Count = 5
     max_hold_off: Micros = Micros(500_000)
     writers_read: bool = True
+    resume: bool = True  # a stream whose writer is lost goes on at another
     probes: bool = False  # ask engines for their load besides what their answers say
 
 
@@ -166,6 +167,8 @@
     "link_slow",
     "drain",
     "late_list",
+    "havoc",
+    "overlap",
     "router_kill",
     "router_roll",
     "router_stop",
--- a/lifthead/engines/codec.py
+++ b/lifthead/engines/codec.py
@@ -15,6 +15,7 @@
 from lifthead.interface import Ending, LoadReport
 
 NOT_RUN = "x-lifthead-not-run"  # extension: "1" on an answer to work that was turned away before it was begun
+CONTINUES_AT = "x-lifthead-continues-at"  # extension: characters of the answer so far that it takes as given
 NO_STATE = "no-state"  # ... or this, when there was no read state to fetch
 
 
@@ -240,6 +241,16 @@
         return event + b"\n\n", bool(text), not part.choices and part.usage is not None
 
 
+def continues_at(headers: Headers) -> int | None:
+    """Where the new text begins, if the engine says so; StrangeError if it says no number."""
+    said = headers.get(CONTINUES_AT)
+    if said is None:
+        return None
+    if not said.isdecimal():
+        raise StrangeError(f"{CONTINUES_AT}: {said!r:.40}")
+    return int(said)
+
+
 class _Load(msgspec.Struct):
     cpu_utilization: float | None = None
     mem_utilization: float | None = None
@@ -304,6 +315,7 @@
     weight: float = 1.0
     started_at: int = 0  # wall clock, microseconds; 0: long ago
     readiness: str = "ready"
+    drains_by: int = 0  # wall clock, microseconds: a drain's time limit, 0 if it has none
 
 
 class ListNews(msgspec.Struct, frozen=True):
--- a/lifthead/interface.py
+++ b/lifthead/interface.py
@@ -118,6 +118,8 @@
     beginning_len: int
     expected_time: int  # rough time of the whole answer at the token target, 0 if not told
     again: bool
+    ran: str = ""  # the engine whose stream of it broke: this is the rest of it ...
+    ran_at: int = 0  # ... and when that forward was sent
 
 
 class Host(Protocol):
--- a/lifthead/standins/day.py
+++ b/lifthead/standins/day.py
@@ -13,7 +13,7 @@
 from lifthead.standins.stage import Stage
 from lifthead.standins.text import filler
 
-AT_ENGINES = ("silent", "slow", "reset", "lost", "full", "flush", "garbage", "link_slow")
+AT_ENGINES = ("silent", "slow", "reset", "lost", "full", "flush", "garbage", "link_slow", "overlap")
 
 
 class Day:
@@ -90,6 +90,8 @@
                     for name in engines
                 )
             )
+        elif trouble.what == "havoc":
+            await self._havoc(engines, trouble)
         elif trouble.what in ("crash", "vanish"):
             await asyncio.gather(*(self._down(name, trouble) for name in engines))
         elif trouble.what == "drain":
@@ -115,6 +117,28 @@
             await asyncio.sleep(trouble.lasts / 1e6)
         await self.stage.start_engine(name, cold=True)
 
+    async def _havoc(self, engines: list[str], trouble: Trouble) -> None:
+        """Some `times` a second, one engine is killed, silenced for a while, or breaks streams."""
+        until = now() + trouble.lasts
+        async with asyncio.TaskGroup() as tasks:
+            down: set[str] = set()
+            while now() < until:
+                await asyncio.sleep(self.chance.expovariate(trouble.times))
+                name = self.chance.choice(sorted(set(engines) - down) or engines)
+                what = self.chance.choice(("kill", "silent", "reset", "reset"))
+                if what == "kill" and len(down) * 2 < len(engines) and name not in down:
+                    down.add(name)
+                    tasks.create_task(self._kill(name, down))
+                elif what != "kill" and name not in down:
+                    lasts = round(self.chance.uniform(0.3, 2.5) * 1e6)
+                    await self.stage.fault(name, what, lasts, trouble.part, 1.0, "")
+
+    async def _kill(self, name: str, down: set[str]) -> None:
+        await self.stage.end(name, signal.SIGKILL)
+        await self.stage.say("gone", name)
+        await self.stage.start_engine(name, cold=False)
+        down.discard(name)
+
     async def _routers(self, trouble: Trouble) -> None:
         how = signal.SIGTERM if trouble.what == "router_stop" else signal.SIGKILL
         for name in trouble.routers or list(self.fleet.routers):
--- a/lifthead/standins/engine.py
+++ b/lifthead/standins/engine.py
@@ -44,6 +44,7 @@
     kept: int
     prompt: int
     model: str
+    continues: dict[str, str]  # header that tells where a continued answer goes on
     lose_after: int = -1  # from this token on nothing is sent, though the work goes on
     reset_after: int = -1
     over: asyncio.Event = field(default_factory=asyncio.Event)
@@ -398,8 +399,8 @@
             if asked.closed.is_set():
                 return "closed"
             self.record.put("ran", id=forward)
-            words = deque(answer(body["messages"], most))
-            stream = Stream(forward, server, words, 0, size, kept, prompt, body.get("model", ""))
+            words, continues = self._words(body, most)
+            stream = Stream(forward, server, words, 0, size, kept, prompt, body.get("model", ""), continues)
             stream.lose_after = self.chance.randint(0, len(words)) if self.meets("lost") else -1
             stream.reset_after = self.chance.randint(0, len(words)) if self.meets("reset") else -1
             self.running.add(stream)
@@ -450,14 +451,19 @@
         if stream.server.gone or stream.server.writer.transport.get_write_buffer_size() > ROOM_FOR_SLOW:
             return
         if stream.reset_after == stream.sent:
-            stream.server.reset()
+            self._tear(stream)
             self.running.discard(stream)
             return
         if stream.lose_after >= 0 and stream.sent >= stream.lose_after:
             stream.lost = True
         if not stream.sent and not stream.lost:
             stream.server.begin(
-                200, {"content-type": "text/event-stream", "transfer-encoding": "chunked", **self._load()}
+                200,
+                {
+                    "content-type": "text/event-stream",
+                    "transfer-encoding": "chunked",
+                    **self._load(stream.continues),
+                },
             )
             self._event(stream, {"choices": [self._delta({"role": "assistant", "content": ""})]})
         word = stream.words.popleft()
@@ -480,6 +486,33 @@
             stream.server.end()
         stream.over.set()
 
+    def _words(self, body: dict, most: int) -> tuple[deque[str], dict[str, str]]:
+        """What is to be written; of an answer that another engine began, what is left. With the fault
+        `overlap`, it starts some characters earlier, says so, and cuts its tokens elsewhere."""
+        messages = body["messages"]
+        if not body.get("continue_final_message"):
+            return deque(answer(messages, most)), {}
+        so_far = str(messages[-1]["content"])
+        words = answer(messages[:-1], most, so_far) or [""]
+        if not self.meets("overlap"):
+            return deque(words), {}
+        at = max(len(so_far) - self.chance.randint(0, 40), 0)
+        text, pieces = so_far[at:] + "".join(words), deque()
+        while text:
+            size = self.chance.randint(1, 9)
+            pieces.append(text[:size])
+            text = text[size:]
+        return pieces or deque([""]), {"x-lifthead-continues-at": str(at)}
+
+    def _tear(self, stream: Stream) -> None:
+        """Breaks a stream: by a reset, or in the middle of an event's bytes."""
+        if stream.sent and self.chance.random() < 0.5:
+            event = b'data: {"choices":[{"index":0,"delta":{"content":"torn'
+            stream.server.raw(b"%x\r\n" % (len(event) + 20) + event[: self.chance.randint(0, len(event))])
+            stream.server.writer.close()
+        else:
+            stream.server.reset()
+
     def _delta(self, delta: dict, finish: str | None = None) -> dict:
         return {"index": 0, "delta": delta, "finish_reason": finish}
 
--- a/lifthead/standins/text.py
+++ b/lifthead/standins/text.py
@@ -35,13 +35,19 @@
 ]
 
 
-def answer(messages: list[dict], max_tokens: int) -> list[str]:
-    """The words of the answer to these messages, one a token."""
+def answer(messages: list[dict], max_tokens: int, so_far: str = "") -> list[str]:
+    """The words of the answer to these messages that come after `so_far`, one a token. How long the whole is
+    depends on the messages alone: an answer that is continued elsewhere ends where it would have ended."""
     last = "\0".join(str(message.get("content")) for message in messages[-3:])
     seed = int.from_bytes(blake2b(last.encode("utf-8", "replace"), digest_size=8).digest())
     chance = random.Random(seed)
-    count = max(1, min(max_tokens, chance.randint(max_tokens // 2, max_tokens)))
-    return [chance.choice(WORDS) + " " for _ in range(count)]
+    words = [chance.choice(WORDS) + " " for _ in range(chance.randint(12, 300))]
+    size = 0
+    for at, word in enumerate(words):
+        if size >= len(so_far):
+            return words[at : at + max_tokens]
+        size += len(word)
+    return []
 
 
 def filler(chance: random.Random, tokens: int) -> str:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -51,6 +51,10 @@
             self.listed[name] = await self._listen(handler)
         log = structlog.wrap_logger(structlog.PrintLogger(open(self.path / "log", "w")))  # noqa: SIM115
         self.daemon = Daemon(self.fleet, "r", 1, log, self._group)
+        self.beats = [
+            *getattr(self, "beats", []),
+            self._group.create_task(self.daemon.host.look_after_streams()),
+        ]
         self.address = await self._listen(self.daemon.clients.connection)
         self.tell()
         return self
