--- a/lifthead/daemon/serve.py
+++ b/lifthead/daemon/serve.py
@@ -45,9 +45,7 @@
         self.door = Door(fleet)
         start = deployment(fleet, name, seed)
         grace, resumes = int(fleet.rules.drain_grace), fleet.rules.resume
-        self.host = Host(
-            name, start, fleet.limits, tasks, self.gauges, log, grace, fleet.rules.resume, decide
-        )
+        self.host = Host(name, start, fleet.limits, tasks, self.gauges, log, grace, resumes, decide)
         self.clients = Clients(fleet.limits, self.answer)
         self.stopping = asyncio.Event()
         self.refusing = self.drained = False
--- a/lifthead/standins/text.py
+++ b/lifthead/standins/text.py
@@ -44,9 +44,9 @@
     words = [chance.choice(WORDS) + " " for _ in range(chance.randint(12, 300))]
     size = 0
     for at, word in enumerate(words):
-        if size >= len(so_far):
-            return words[at : at + max_tokens]
         size += len(word)
+        if size > len(so_far):  # of a word that was cut, the rest
+            return [word[len(word) - (size - len(so_far)) :], *words[at + 1 :]][:max_tokens]
     return []
 
 
