--- a/lifthead/daemon/host.py
+++ b/lifthead/daemon/host.py
@@ -447,6 +447,7 @@
                 gap_us=at - hand.broken_at,
                 written=hand.written.tokens,
                 times=hand.legs,
+                read_anew=hand.asked.prompt + hand.written.tokens,
             )
         else:
             hand.first_at = at
--- a/lifthead/resume/splice.py
+++ b/lifthead/resume/splice.py
@@ -99,6 +99,7 @@
         self._stop = stop
         longest = max(map(len, stop), default=1) - 1
         self._tail = written.text[-longest:] if longest else ""
+        self._edge = len(self._tail)
         self._watched = longest  # characters after the seam in which a stop that began before it may end
         self.stopped = False
 
@@ -137,17 +138,16 @@
         return self._until_stop(content, choice)
 
     def _until_stop(self, content: str, choice: dict[str, Any]) -> str:
-        """A stop sequence that begins before the seam and ends after it: the new writer can't see it."""
+        """A stop sequence that begins before the seam and ends after it: the new writer can't see it.
+        What was sent of it stays sent; nothing after it is."""
         if self._watched <= 0 or not content:
             return content
-        seen = self._tail + content
-        ends = [at + len(stop) for stop in self._stop if 0 <= (at := seen.find(stop)) < len(self._tail)]
-        if ends:
+        self._tail += content
+        self._watched -= len(content)
+        if any(0 <= self._tail.find(stop) < self._edge for stop in self._stop):
             self.stopped = True
             choice["finish_reason"] = "stop"
-            return content[: max(min(ends) - len(self._tail), 0)] if min(ends) > len(self._tail) else ""
-        self._watched -= len(content)
-        self._tail = seen[-len(self._tail) - len(content) :]
+            return ""
         return content
 
     def _whole(self, usage: dict[str, Any]) -> dict[str, Any]:
--- a/lifthead/standins/crowd.py
+++ b/lifthead/standins/crowd.py
@@ -203,7 +203,7 @@
             budget=budget,
             streamed=streamed,
         )
-        seen = {"first": 0, "status": 0, "retry_ms": 0}
+        seen = {"first": 0, "status": 0, "retry_ms": 0, "gap": 0, "last": 0}
         how = "broken"
         try:
             async with asyncio.timeout(leaving or None):
@@ -217,7 +217,14 @@
             client.close()
         first_us = seen["first"] - asked_at if seen["first"] else 0
         self.record.put(
-            "answer", id=name, want=first, how=how, status=seen["status"], first=first_us, router=address
+            "answer",
+            id=name,
+            want=first,
+            how=how,
+            status=seen["status"],
+            first=first_us,
+            gap=seen["gap"],
+            router=address,
         )
         return how, max(seen["retry_ms"] / 1000, 0.02)
 
@@ -256,7 +263,9 @@
                     continue
                 for choice in part["choices"]:
                     if choice["delta"].get("content"):
-                        seen["first"] = seen["first"] or now()
+                        at = now()
+                        seen["gap"] = max(seen["gap"], at - (seen["last"] or at))
+                        seen["first"], seen["last"] = seen["first"] or at, at
                         text.append(choice["delta"]["content"])
             if slow:
                 await asyncio.sleep(0.05)
