--- a/lifthead/deployment/fleet.py
+++ b/lifthead/deployment/fleet.py
@@ -190,6 +190,7 @@
     routers: list[str] = []
     part: Part = 1.0  # share of answers, prompts or traffic that it meets
     times: Above0 = 4.0  # how much slower, longer or more
+    limit: Micros = Zero  # of a drain: streams that would outlive it are moved
     group: str = ""
     tenant: str = ""
 
--- a/lifthead/standins/day.py
+++ b/lifthead/standins/day.py
@@ -95,7 +95,7 @@
         elif trouble.what in ("crash", "vanish"):
             await asyncio.gather(*(self._down(name, trouble) for name in engines))
         elif trouble.what == "drain":
-            await self.stage.say("draining", *engines)
+            await self.stage.say("draining", *engines, limit=trouble.limit)
             await asyncio.sleep(trouble.lasts / 1e6)
             await self.stage.say("ready", *engines)
         elif trouble.what == "late_list":
--- a/lifthead/standins/stage.py
+++ b/lifthead/standins/stage.py
@@ -100,9 +100,10 @@
             "started_at": known.get("started_at", 0) if started_at is None else started_at,
         }
 
-    async def say(self, readiness: str, *names: str) -> None:
-        """The list's news of engines: `ready`, `draining` or `gone`."""
-        await self.list.change(*(self._entry(name, readiness) for name in names))
+    async def say(self, readiness: str, *names: str, limit: int = 0) -> None:
+        """The list's news of engines: `ready`, `draining` (within `limit` microseconds, if any) or `gone`."""
+        by = time.time_ns() // 1000 + limit if limit else 0
+        await self.list.change(*(self._entry(name, readiness) | {"drains_by": by} for name in names))
 
     async def fault(self, name: str, what: str, lasts: int, part: float, times: float, group: str) -> None:
         said = msgspec.json.encode(
