--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -109,6 +109,7 @@
         self.cold_part = deployment.cold_share * deployment.tip_multiple * COLD_PART
         even = SHARE_SLACK / 1_000_000 / deployment.routers  # shares are by the second and for all routers
         self.share = {name: tenant.quota_per_s * even for name, tenant in deployment.tenants.items()}
+        self.granted = dict(self.share)
         # Reqs that a tenant may still send, and as of when.
         self.within = {name: (float(SHARE_BURST), 0) for name in self.share}
         self.engines: dict[str, Engine] = {}
@@ -292,6 +293,11 @@
             req.answered = True
             self._let_go(req)
 
+    def on_share(self, tenant: str, part: float) -> None:
+        """A tenant has so much of its share from here on: a budget that runs out comes before its end."""
+        if tenant in self.granted:
+            self.share[tenant] = self.granted[tenant] * part
+
     def on_wake(self, label: int) -> None:
         if label == TURN_OF_WINDOW:
             return self._turn_of_window()
--- a/lifthead/daemon/host.py
+++ b/lifthead/daemon/host.py
@@ -12,7 +12,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, Protocol
 
 from lifthead import control
 from lifthead.chat import codec as chat
@@ -77,6 +77,12 @@
     legs: int = 0  # times that the stream was placed again
     broken_at: int = 0
     cause: str = ""  # of the last break
+    before: int = 0  # answer tokens that were written when this leg began
+    sent_tokens: int = 0  # answer tokens that the client was sent
+    made: int = 0  # ... and that engines made, as far as their streams showed
+    kept: int = 0  # prompt tokens that the engine which read last found kept
+    read_anew: int = 0
+    billed: bool = False
     ran: tuple[str, int] = ("", 0)  # where the broken stream ran, and when its forward was sent
     ended_at: int = 0
     ended: str = ""  # "done", "pushed back", "aborted" or "left": exactly one, once
@@ -95,6 +101,16 @@
     drains_by: int = 0  # on this router's clock, 0: no limit
 
 
+class Bill(Protocol):
+    """Who writes down what a req has used (lifthead/ledger/)."""
+
+    async def done(self, hand: InHand) -> None:
+        """Its answer is whole but for its end; returns once that may be sent."""
+
+    def over(self, hand: InHand) -> None:
+        """It has had its end."""
+
+
 class Host:
     def __init__(
         self,
@@ -106,6 +122,7 @@
         log: Any,
         grace: int,
         resumes: bool,
+        bill: Bill | None = None,
         decide: Callable[[Any, Deployment], control.Router] = control.Router,
     ) -> None:
         self.name = name
@@ -118,6 +135,7 @@
         self._log = log
         self._grace = grace
         self._resumes = resumes
+        self._bill = bill
         self._next = 1
         self._roles = deployment.roles
         self._effects = {group.name: group.effect for group in deployment.groups.values()}
@@ -354,6 +372,7 @@
             return seen, 0, report
         if out.reading:
             hand.handle, kept = codec.read_answer(await connection.rest())
+            hand.kept = kept
             hand.held_at, hand.held_by = out.engine, name
             return Sight.READ, kept, report
         if report:
@@ -419,18 +438,34 @@
         if not events.ended:
             return Sight.CUT, 0
         self.notice.ended(hand.serial)
-        if gathered and not hand.ended:
-            if self._answered(hand, "done"):
-                hand.reply.whole(200, gathered.whole(), {**self._headers(hand), **JSON})
-        elif not hand.ended and self._answered(hand, "done"):
+        limit.reschedule(None)  # the answer is whole
+        if not gathered and not hand.ended:
             if not hand.reply.begun:
                 hand.reply.begin(self._headers(hand))
-            hand.reply.end(b"".join(held_back) + b"data: [DONE]\n\n")
+            hand.written.add(ready := b"".join(held_back))
+            if ready:
+                hand.reply.send(ready)
+        self._count(hand, events, gathered is not None)
+        if self._bill and not hand.ended:
+            await self._bill.done(hand)
+        if self._answered(hand, "done"):
+            if gathered:
+                hand.reply.whole(200, gathered.whole(), {**self._headers(hand), **JSON})
+            else:
+                hand.reply.end(b"data: [DONE]\n\n")
         with contextlib.suppress(TimeoutError, OSError, HttpError):
             async with asyncio.timeout(REST_WITHIN):
                 await connection.rest()  # a whole answer's connection can be used again
         return Sight.WRITTEN, codec.kept(events.usage)
 
+    def _count(self, hand: InHand, events: codec.Events, gathered: bool) -> None:
+        """Answer tokens of a leg that came to its end: by the engine's own word, else by its events."""
+        told = events.usage.completion_tokens if events.usage else 0
+        written = events.tokens if gathered else hand.written.settle().tokens - hand.before
+        hand.made += told or written
+        hand.sent_tokens = told or written if gathered or not hand.legs else hand.written.tokens
+        hand.kept = codec.kept(events.usage) or hand.kept
+
     def _begin(self, hand: InHand, out: Out, limit: asyncio.Timeout) -> None:
         at = now()
         hand.begun, hand.handle = True, None  # the writer has fetched what was held
@@ -475,8 +510,12 @@
         if hand.begun and ending is not Ending.DONE:
             if not hand.asked.streamed:
                 hand.begun = False  # nothing of it has reached the client
+                hand.made += out.tokens
             elif not hand.ended:
                 waits = self._broken(hand, out, sight)
+            else:  # its client left
+                hand.made += hand.written.settle().tokens - hand.before
+                hand.sent_tokens = hand.written.tokens
         final = ending is Ending.DONE or hand.ended != "" or waits
         self.router.on_ended(
             hand.id, out.number, out.engine, ending, now() - out.sent_at, note or mark, final, report
@@ -493,6 +532,8 @@
     def _broken(self, hand: InHand, out: Out, sight: Sight) -> bool:
         """A stream broke. True if it waits for another place; else its client has had an end."""
         written, asked = hand.written.settle(), hand.asked
+        hand.made += written.tokens - hand.before
+        hand.sent_tokens, hand.before = written.tokens, written.tokens
         hand.broken_at, hand.cause = now(), out.lost or sight.name.lower()
         if written.finished:  # only the last events are missing: the answer is whole
             if self._answered(hand, "done"):
@@ -550,6 +591,7 @@
             hand.legs, hand.forwards = hand.legs + 1, 0
             hand.body = continuation(asked.body, hand.written)
             self.gauges.read_anew.inc(broken.to_read)
+            hand.read_anew += broken.to_read
             engine, ran_at = hand.ran
             self._taking = hand
             self.router.on_req(
@@ -649,6 +691,8 @@
             self.empty.set()
         for timer in hand.timers:
             timer.cancel()
+        if self._bill:
+            self._bill.over(hand)
         asked = hand.asked
         self._log.info(
             "req",
--- a/lifthead/daemon/serve.py
+++ b/lifthead/daemon/serve.py
@@ -17,6 +17,7 @@
 from lifthead.chat.codec import BadReqError, Door
 from lifthead.chat.server import Clients, Reply
 from lifthead.control import Router
+from lifthead.daemon.biller import Biller
 from lifthead.daemon.gauges import Gauges
 from lifthead.daemon.host import Host, now
 from lifthead.deployment.derive import deployment
@@ -25,6 +26,8 @@
 from lifthead.engines.listing import follow
 from lifthead.fleet import admin, health
 from lifthead.http1 import Message
+from lifthead.ledger.keeper import Keeper, open_journal
+from lifthead.ledger.quota import Budget, Quota
 
 BACKLOG = 4096
 LAG_EVERY = 0.05
@@ -38,6 +41,7 @@
         seed: int,
         log: Any,
         tasks: asyncio.TaskGroup,
+        run_dir: Path,
         decide: Callable[..., Router] = Router,
     ) -> None:
         self.fleet, self.spec, self.log = fleet, fleet.routers[name], log
@@ -45,7 +49,17 @@
         self.door = Door(fleet)
         start = deployment(fleet, name, seed)
         grace, resumes = int(fleet.rules.drain_grace), fleet.rules.resume
-        self.host = Host(name, start, fleet.limits, tasks, self.gauges, log, grace, resumes, decide)
+        self.keeper, self.quota, bill = None, None, None
+        if fleet.ledger:
+            directory = Path(fleet.ledger.directory or run_dir / f"ledger-{name}")
+            lost = self.gauges.unbilled.inc
+            self.keeper = Keeper(open_journal(directory), fleet.ledger, log, lost)
+            budgets = {each.tenant: Budget(each.tokens, each.soft) for each in fleet.budgets.values()}
+            self.quota = Quota(budgets, len(fleet.routers))
+            bill = Biller(self.keeper, self.quota)
+            bill.take_up(list(budgets))
+        self.biller = bill
+        self.host = Host(name, start, fleet.limits, tasks, self.gauges, log, grace, resumes, bill, decide)
         self.clients = Clients(fleet.limits, self.answer)
         self.stopping = asyncio.Event()
         self.refusing = self.drained = False
@@ -70,7 +84,10 @@
                 if message.method != "POST":
                     raise BadReqError(405, "method_not_allowed", "expected POST")
                 asked = self.door.asked(message)
-                if (why := self._closed()) is None:
+                most = asked.prompt + asked.max_out
+                if (why := self._closed()) is None and self.quota and not self.quota.take(asked.tenant, most):
+                    raise BadReqError(429, "insufficient_quota", f"tenant {asked.tenant} has used its budget")
+                if why is None:
                     await self.host.take(asked, reply)
                 else:  # never taken: no answer is owed later, and nothing was sent for it
                     fields = {"content-type": "application/json", "retry-after": "1", "retry-after-ms": "250"}
@@ -94,6 +111,8 @@
             return "this router drains"
         if not self.host.listed_at:
             return "this router has no list of engines yet"
+        if self.keeper and self.keeper.refuses:
+            return "this router can't write its ledger"
         if len(self.host.in_hand) >= self.fleet.limits.in_hand:
             return "this router holds all that it may"
         return None
@@ -158,6 +177,9 @@
                 self.gauges.lag.set(worst)
                 self.gauges.list_age.set((now() - self.host.listed_at) / 1e6 if self.host.listed_at else -1)
                 worst = 0.0
+                if self.biller:
+                    for tenant, part in self.biller.shares().items():
+                        self.host.router.on_share(tenant, part)
 
 
 def fixed_list(fleet: Fleet) -> ListNews:
@@ -187,7 +209,7 @@
     gc.set_threshold(5_000, 20, 100)
     spec, limits = fleet.routers[name], fleet.limits
     async with asyncio.TaskGroup() as tasks:
-        daemon = Daemon(fleet, name, seed, log, tasks, decide)
+        daemon = Daemon(fleet, name, seed, log, tasks, run_dir, decide)
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, daemon.stopping.set)
         # Listening to none until the health side can speak: a balancer never finds a port that lies.
@@ -208,6 +230,8 @@
         desk = await asyncio.start_unix_server(functools.partial(admin.serve, daemon.answers()), str(socket))
         os.umask(before)
         service = [tasks.create_task(daemon.measure()), tasks.create_task(daemon.host.look_after_streams())]
+        if daemon.keeper:
+            service += [tasks.create_task(daemon.keeper.write()), tasks.create_task(daemon.keeper.export())]
         if list_url:
             service.append(
                 tasks.create_task(follow(list_url, name, daemon.host.on_list, daemon.host.on_list_lost, log))
@@ -235,6 +259,8 @@
         except TimeoutError:
             daemon.host.give_up_all()
         await _quiet(daemon)
+        if daemon.keeper:
+            await daemon.keeper.close()
         for task in service:
             task.cancel()
         daemon.host.close()
--- a/lifthead/deployment/fleet.py
+++ b/lifthead/deployment/fleet.py
@@ -105,6 +105,27 @@
     connect_within: Micros = Micros(250_000)
 
 
+class LedgerTerms(Entry, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """How usage is written down. Only where the script says `ledger()`."""
+
+    directory: str = ""  # "": ledger-NAME in the run directory
+    period: Literal["month", "day"] = "month"
+    zone: str = "UTC"  # time zone of the periods
+    wait: bool = True  # the last event of an answer waits until its entry is on the disk
+    commit_every: Micros = Micros(50_000)  # where it does not wait: what a kill may lose
+    when_unwritable: Literal["refuse", "unbilled"] = "refuse"
+    export_to: str = ""  # URL under which batches are put
+    export_every: Micros = Micros(10_000_000)
+
+
+class BudgetTerms(Entry, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A tenant's budget of billed tokens a period, for all routers together."""
+
+    tenant: Name
+    tokens: Count
+    soft: Part = 0.8
+
+
 class Headers(Entry, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Names of the headers that a deployment's clients use."""
 
@@ -207,5 +228,7 @@
     rules: Rules = Rules()
     limits: Limits = Limits()
     headers: Headers = Headers()
+    ledger: LedgerTerms | None = None
+    budgets: dict[str, BudgetTerms] = {}
     crowd: Crowd | None = None
     troubles: list[Trouble] = []
--- a/lifthead/deployment/script.py
+++ b/lifthead/deployment/script.py
@@ -6,6 +6,7 @@
 
 from pathlib import Path
 from typing import Any
+from zoneinfo import ZoneInfo
 
 import msgspec
 import starlark
@@ -41,7 +42,9 @@
 
 def run(text: str, name: str) -> fleet.Fleet:
     """Runs the text of a script; `name` stands in its errors."""
-    found = fleet.Fleet(kinds={}, engines={}, groups={}, tenants={}, routers={}, stand_ins={}, troubles=[])
+    found = fleet.Fleet(
+        kinds={}, engines={}, groups={}, tenants={}, routers={}, stand_ins={}, budgets={}, troubles=[]
+    )
     places = {
         "kind": _keyed(fleet.Kind, found.kinds, "name"),
         "engine": _keyed(fleet.EngineSpec, found.engines, "name"),
@@ -52,6 +55,8 @@
         "rules": _single(fleet.Rules, found, "rules"),
         "limits": _single(fleet.Limits, found, "limits"),
         "headers": _single(fleet.Headers, found, "headers"),
+        "ledger": _single(fleet.LedgerTerms, found, "ledger"),
+        "budget": _keyed(fleet.BudgetTerms, found.budgets, "tenant"),
         "crowd": _single(fleet.Crowd, found, "crowd"),
         "mix": lambda **fields: to_value({key: from_value(value) for key, value in fields.items()}),
         "trouble": lambda what=None, **fields: found.troubles.append(
@@ -162,4 +167,16 @@
             return (
                 f"crowd, field mix: group {mix.group!r} is no group(), expected one of {list(found.groups)}"
             )
+    for tenant in found.budgets:
+        if tenant not in found.tenants:
+            return f"budget {tenant}: no such tenant(), expected one of {list(found.tenants)}"
+    if found.budgets and not found.ledger:
+        return "budget() needs ledger(): what was used is read from it"
+    if found.ledger:
+        try:
+            ZoneInfo(found.ledger.zone)
+        except (OSError, ValueError, LookupError):
+            return (
+                f"ledger, field zone: {found.ledger.zone!r} is no time zone, expected one as America/Recife"
+            )
     return ""
--- /dev/null
+++ b/lifthead/ledger/export.py
@@ -0,0 +1,149 @@
+"""Batches as Parquet with a manifest, taken by a billing system exactly once: a batch is planned in the
+ledger, sent under an id that never stands for anything else, as often as it takes, and noted once it has
+landed."""
+
+import io
+import json
+import os
+from hashlib import blake2b
+from pathlib import Path
+
+import msgspec
+import pyarrow as pa
+import pyarrow.parquet as pq
+
+from lifthead.engines.link import Link
+from lifthead.http1 import head
+from lifthead.ledger.entries import Correction, Entry, Usage
+
+SCHEMA_VERSION = 1
+FIELDS = (
+    ("number", pa.int64()),
+    ("kind", pa.string()),
+    ("id", pa.string()),
+    ("at", pa.int64()),
+    ("period", pa.string()),
+    ("of_period", pa.string()),
+    ("tenant", pa.string()),
+    ("group", pa.string()),
+    ("ended", pa.string()),
+    ("reqs", pa.int64()),
+    ("prompt", pa.int64()),
+    ("kept", pa.int64()),
+    ("sent", pa.int64()),
+    ("made", pa.int64()),
+    ("forwards", pa.int64()),
+    ("resumes", pa.int64()),
+    ("read_anew", pa.int64()),
+    ("billed_prompt", pa.int64()),
+    ("billed_answer", pa.int64()),
+    ("why", pa.string()),
+    ("reverses", pa.string()),
+)
+SCHEMA = pa.schema(FIELDS, metadata={"lifthead_schema": str(SCHEMA_VERSION)})
+
+
+def row(number: int, entry: Usage | Correction) -> dict:
+    fields = msgspec.structs.asdict(entry)
+    if isinstance(entry, Correction):
+        fields |= {
+            "kind": "correction",
+            "billed_prompt": entry.prompt,
+            "billed_answer": entry.answer,
+            "prompt": 0,
+        }
+        del fields["answer"]
+    else:
+        fields |= {"kind": "usage", "reqs": 1}
+    return {"number": number, **fields}
+
+
+def digest(rows: list[dict]) -> str:
+    """Of what the rows say, whatever wrote the file."""
+    plain = [[each.get(name) for name, _ in FIELDS] for each in rows]
+    return blake2b(json.dumps(plain).encode(), digest_size=16).hexdigest()
+
+
+def batch_file(batch: str, ledger: str, entries: list[tuple[int, Entry]]) -> tuple[bytes, dict]:
+    """A batch's Parquet bytes and its manifest."""
+    rows = [row(number, entry) for number, entry in entries if isinstance(entry, (Usage, Correction))]
+    table = pa.Table.from_pylist(
+        [{name: each.get(name) for name, _ in FIELDS} for each in rows], schema=SCHEMA
+    )
+    out = io.BytesIO()
+    pq.write_table(table, out, compression="zstd")
+    manifest = {
+        "batch": batch,
+        "ledger": ledger,
+        "schema": SCHEMA_VERSION,
+        "rows": len(rows),
+        "digest": digest(rows),
+        "first": entries[0][0] if entries else 0,
+        "last": entries[-1][0] if entries else 0,
+    }
+    return out.getvalue(), manifest
+
+
+def entries_of(file: bytes | Path) -> list[Entry]:
+    """The entries of a batch's Parquet bytes; ValueError if its schema is not known."""
+    table = pq.read_table(io.BytesIO(file) if isinstance(file, bytes) else file)
+    version = (table.schema.metadata or {}).get(b"lifthead_schema", b"?").decode()
+    if version != str(SCHEMA_VERSION):
+        raise ValueError(f"schema {version}, expected {SCHEMA_VERSION}")
+    found: list[Entry] = []
+    for each in table.to_pylist():
+        if each["kind"] == "usage":
+            kept = {name: each[name] for name in Usage.__struct_fields__}
+            found.append(Usage(**kept))
+        else:
+            found.append(
+                Correction(
+                    id=each["id"],
+                    at=each["at"],
+                    period=each["period"],
+                    of_period=each["of_period"],
+                    tenant=each["tenant"],
+                    group=each["group"],
+                    reqs=each["reqs"],
+                    prompt=each["billed_prompt"],
+                    answer=each["billed_answer"],
+                    why=each["why"],
+                    reverses=each["reverses"],
+                )
+            )
+    return found
+
+
+def put_files(directory: Path, data: bytes, manifest: dict) -> None:
+    """A batch as two files; the manifest comes last and by a rename, so that one that is there is whole."""
+    directory.mkdir(parents=True, exist_ok=True)
+    for name, content in (
+        (f"{manifest['batch']}.parquet", data),
+        (f"{manifest['batch']}.json", json.dumps(manifest).encode()),
+    ):
+        part = directory / f"{name}.part"
+        with open(part, "wb") as file:
+            file.write(content)
+            file.flush()
+            os.fsync(file.fileno())
+        os.replace(part, directory / name)
+
+
+async def deliver(url: str, data: bytes, manifest: dict, within: float = 10.0) -> bool:
+    """Puts a batch to a billing system; True once it says that it has it. Whether one that did not answer
+    has it is not known: the same batch is put again, and its id and digest make that harmless."""
+    address, _, path = url.removeprefix("http://").partition("/")
+    fields = {
+        "host": address,
+        "content-type": "application/vnd.apache.parquet",
+        "content-length": str(len(data)),
+        "idempotency-key": manifest["batch"],
+        "x-batch-digest": manifest["digest"],
+        "x-batch-manifest": json.dumps(manifest),
+    }
+    link = Link(address, 1.0)
+    try:
+        answer = await link.ask(head(f"PUT /{path}/{manifest['batch']} HTTP/1.1", fields) + data, within)
+    finally:
+        link.close()
+    return answer is not None and answer[0].status in (200, 201, 204)
--- a/lifthead/standins/crowd.py
+++ b/lifthead/standins/crowd.py
@@ -203,7 +203,7 @@
             budget=budget,
             streamed=streamed,
         )
-        seen = {"first": 0, "status": 0, "retry_ms": 0, "gap": 0, "last": 0}
+        seen = {"first": 0, "status": 0, "retry_ms": 0, "gap": 0, "last": 0, "tokens": 0}
         how = "broken"
         try:
             async with asyncio.timeout(leaving or None):
@@ -224,6 +224,8 @@
             status=seen["status"],
             first=first_us,
             gap=seen["gap"],
+            tokens=seen["tokens"],
+            req=client.headers.get("x-request-id", ""),
             router=address,
         )
         return how, max(seen["retry_ms"] / 1000, 0.02)
@@ -240,7 +242,7 @@
         if client.status != 200:
             return await self._refused(client, seen)
         body = json.loads(await client.rest())
-        seen["first"] = now()
+        seen["first"], seen["tokens"] = now(), body["usage"]["completion_tokens"]
         return "done" if body["choices"][0]["message"]["content"] == expected else "wrong"
 
     async def _streamed(self, client: Client, seen: dict, expected: str, slow: bool) -> str:
@@ -267,6 +269,7 @@
                         seen["gap"] = max(seen["gap"], at - (seen["last"] or at))
                         seen["first"], seen["last"] = seen["first"] or at, at
                         text.append(choice["delta"]["content"])
+                        seen["tokens"] += 1
             if slow:
                 await asyncio.sleep(0.05)
         if not end:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -50,7 +50,7 @@
         for name, handler in self.odd.items():
             self.listed[name] = await self._listen(handler)
         log = structlog.wrap_logger(structlog.PrintLogger(open(self.path / "log", "w")))  # noqa: SIM115
-        self.daemon = Daemon(self.fleet, "r", 1, log, self._group)
+        self.daemon = Daemon(self.fleet, "r", 1, log, self._group, self.path)
         self.beats = [
             *getattr(self, "beats", []),
             self._group.create_task(self.daemon.host.look_after_streams()),
