--- a/benchmarks/router.py
+++ b/benchmarks/router.py
@@ -1,6 +1,6 @@
 """One router process under load, beside a bare byte relay and beside random choice on the same stack.
 
-`python -m benchmarks.router [--many 10000] [--out FILE]`: prints one JSON line a measurement.
+`python -m benchmarks.router [--many 10000] [--ledger] [--out FILE]`: prints one JSON line a measurement.
 """
 
 import contextlib
@@ -57,8 +57,11 @@
             for n, at in enumerate(self.engines)
         ]
         file = self.dir / "bench.star"
-        file.write_text(SCRIPT.format(engines="\n".join(lines)))
-        how = ("lifthead.cli", "serve") if kind == "lifthead" else ("benchmarks.baselines", "random")
+        ledger = {"with a ledger": "ledger()\n", "ledger, not waiting": "ledger(wait = False)\n"}.get(
+            kind, ""
+        )
+        file.write_text(SCRIPT.format(engines="\n".join(lines)) + ledger)
+        how = ("benchmarks.baselines", "random") if kind == "random" else ("lifthead.cli", "serve")
         process = self.start(
             *how, str(file), "--router", "r", "--run", str(self.dir), "--log", str(self.dir / "log")
         )
@@ -141,6 +144,11 @@
         if out:
             out.write(line + "\n")
 
+    if "--ledger" in words:
+        for kind in ("lifthead", "with a ledger", "ledger, not waiting"):
+            found = measure(kind, 8, 0, 2, connections=64, seconds=8)
+            say(what="saturation, 8 tokens a req", through=kind, **found)
+        return
     full = {}
     for kind in ("relay", "random", "lifthead"):
         full[kind] = measure(kind, 8, 0, 2, connections=64, seconds=8)
--- a/lifthead/daemon/host.py
+++ b/lifthead/daemon/host.py
@@ -531,7 +531,7 @@
 
     def _broken(self, hand: InHand, out: Out, sight: Sight) -> bool:
         """A stream broke. True if it waits for another place; else its client has had an end."""
-        written, asked = hand.written.settle(), hand.asked
+        written = hand.written.settle()
         hand.made += written.tokens - hand.before
         hand.sent_tokens, hand.before = written.tokens, written.tokens
         hand.broken_at, hand.cause = now(), out.lost or sight.name.lower()
@@ -540,20 +540,7 @@
                 hand.reply.end(b"data: [DONE]\n\n")
             self.gauges.broken(hand.cause, "whole already")
             return False
-        blocked = splice_obstacle(asked.body) or ("a tool call" if written.tools else "")
-        left = asked.max_out - written.tokens
-        broken = Broken(
-            stream=hand.serial,
-            tenant=asked.tenant,
-            group=self._groups[asked.group],
-            written=written.tokens,
-            to_read=asked.prompt + written.tokens,
-            left=max(left, 1),
-            times=hand.legs,
-            ran_at=out.sent_at,
-            obstacle=blocked,
-            broken_at=hand.broken_at,
-        )
+        broken = self._as_broken(hand, out)
         why = self.rescue.lost(broken) if self._resumes else "resume is off"
         self._log.warning(
             "stream broken",
@@ -613,10 +600,33 @@
             )
             self._taking = None
 
+    def _as_broken(self, hand: InHand, out: Out) -> Broken:
+        asked, written = hand.asked, hand.written.settle()
+        return Broken(
+            stream=hand.serial,
+            tenant=asked.tenant,
+            group=self._groups[asked.group],
+            written=written.tokens,
+            to_read=asked.prompt + written.tokens,
+            left=max(asked.max_out - written.tokens, 1),
+            times=hand.legs,
+            ran_at=out.sent_at,
+            obstacle=splice_obstacle(asked.body) or ("a tool call" if written.tools else ""),
+            broken_at=now(),
+        )
+
+    def _movable(self, hand: InHand | None) -> bool:
+        """Whether a running stream could go on elsewhere. One that could not is left to its writer, which may
+        wake, and to the last guard: to cut it would only break it."""
+        out = hand.out if hand else None
+        if not self._resumes or hand is None or out is None or not hand.begun or out.called_off:
+            return False
+        return not self.rescue.refusal(self._as_broken(hand, out))
+
     def _lose(self, serial: int, cause: str) -> None:
         """Gives up a running stream's forward: its connection is cut, and late bytes of it reach nobody."""
         hand = self._streams.get(serial)
-        if hand and hand.begun and hand.out and not hand.out.called_off:
+        if hand and hand.out and self._movable(hand):
             hand.out.lost = cause
             self.cancel(hand.id, hand.out.number)
 
@@ -646,10 +656,8 @@
         due = {name for name, peer in self.peers.items() if peer.drains_by and peer.readiness == "draining"}
         found = []
         for serial, hand in self._streams.items() if due else ():
-            out, group = hand.out, self._groups[hand.asked.group]
-            if not (out and hand.begun and out.engine in due and not out.called_off and out.tokens):
-                continue
-            if group.effect is Effect.NON_REPLAYABLE or splice_obstacle(hand.asked.body):
+            out = hand.out
+            if not (out and out.engine in due and out.tokens and self._movable(hand)):
                 continue
             pace = (now() - out.sent_at) // out.tokens
             left = max(hand.asked.max_out - hand.written.tokens - out.tokens, 1)
--- a/tests/test_resume.py
+++ b/tests/test_resume.py
@@ -408,6 +408,44 @@
     run(play())
 
 
+@pytest.mark.parametrize("case", ["non-replayable", "off", "off, draining"])
+def test_a_stream_that_could_not_go_on_elsewhere_is_left_to_its_writer(tmp_path, case):
+    """Its writer is silent for a while, or drains with a time limit: to cut it would only break it."""
+
+    async def play():
+        text = SCRIPT.replace("rules(", "rules(resume = False, ") if "off" in case else SCRIPT
+        text = text.replace('stalled_for = "600ms"', 'stalled_for = "6s"')
+        async with Loopback(tmp_path, engines=("rd", "wr", "wr2"), text=text) as loop:
+            said = body(
+                "wait", model="once" if case == "non-replayable" else "m", stream=True, max_tokens=300
+            )
+            answer = asyncio.create_task(raw(loop.address, http(said), within=15))
+            await loop.until(lambda: loop.engines["wr"].running or loop.engines["wr2"].running)
+            for name in ("wr", "wr2"):
+                if "draining" in case:
+                    loop.fault(name, "slow", lasts=1.0, times=8.0)
+                else:
+                    loop.fault(name, "silent", lasts=1.0 if loop.engines[name].running else 0.0)
+            if "draining" in case:
+                by = time.time_ns() // 1000 + 200_000
+                loop.daemon.host.on_list(
+                    ListNews(
+                        False,
+                        [
+                            ListedEngine(
+                                name, loop.listed[name], "a", 0, "writer", readiness="draining", drains_by=by
+                            )
+                            for name in ("wr", "wr2")
+                        ],
+                    )
+                )
+            words, last, _ = texts(await answer)
+            assert last == b"[DONE]" and words == expected(said)
+            assert len(forwards(loop, "wr", "wr2")) == 1
+
+    run(play())
+
+
 def test_a_client_that_leaves_while_its_stream_waits(tmp_path):
     async def play():
         async with Loopback(tmp_path, engines=("rd", "wr", "wr2")) as loop:
