--- a/lifthead/standins/billing.py
+++ b/lifthead/standins/billing.py
@@ -2,6 +2,7 @@
 one."""
 
 import asyncio
+import contextlib
 import json
 import random
 from pathlib import Path
@@ -45,5 +46,6 @@
             self._record.put("landed", batch=batch, digest=digest)
             if self._chance.random() >= self._silent:
                 server.whole(200, b"{}")
-        await writer.drain()
+        with contextlib.suppress(ConnectionError):
+            await writer.drain()
         writer.close()
