--- a/lifthead/cli.py
+++ b/lifthead/cli.py
@@ -97,6 +97,9 @@
     engine_list: Annotated[
         str, typer.Option("--list", help="URL of a pushed list; else the file's engines.")
     ] = "",
+    engines_file: Annotated[
+        str, typer.Option("--engines", help="Watched file of engines, taken whole or not at all.")
+    ] = "",
     run: RunDir = DEFAULT_RUN,
     log: Annotated[str, typer.Option(help="File for the log; else standard error.")] = "",
     seed: Annotated[int, typer.Option(help="Seed of the decisions' chance; 0: drawn.")] = 0,
@@ -109,9 +112,9 @@
     if name not in fleet.routers:
         typer.echo(f"--router: expected one of {list(fleet.routers)}", err=True)
         raise typer.Exit(2)
-    asyncio.run(
-        daemon.serve(fleet, name, engine_list, run, seed or secrets.randbits(63), daemon.logger(log or None))
-    )
+    out, drawn = daemon.logger(log or None), seed or secrets.randbits(63)
+    watched = Path(engines_file) if engines_file else None
+    asyncio.run(daemon.serve(fleet, name, engine_list, run, drawn, out, engine_file=watched))
 
 
 @app.command()
@@ -190,6 +193,91 @@
     return None
 
 
+@app.command()
+def members(run: RunDir = DEFAULT_RUN, as_json: AsJson = False) -> None:
+    """Each router's sources of engines: the file's generation, what is held back, who said what."""
+    said = _ask(run, {"ask": "members"})
+    if as_json:
+        return _json(said)
+    for name, found in said.items():
+        if found is None:
+            typer.echo(f"{name}: dead")
+            continue
+        _table([found["file"]] if found["file"] else [], f"{name}: file")
+        _table(found["sources"], f"{name}: sources")
+        _table(found["engines"], f"{name}: engines")
+    return None
+
+
+def _all(run: Path, question: dict[str, Any], as_json: bool) -> None:
+    """Asks every router; exit 1 if one is dead or did not take it."""
+    said = _ask(run, question)
+    rows = [
+        {
+            "router": name,
+            "taken": bool(found and found.get("taken")),
+            "why": (found.get("why") or found.get("error", "")) if found else "dead",
+            "digest": found.get("digest") if found else None,
+            "generation": found.get("generation") if found else None,
+        }
+        for name, found in said.items()
+    ]
+    _json(rows) if as_json else _table(rows, "routers")
+    if not all(row["taken"] for row in rows):
+        raise typer.Exit(1)
+
+
+@app.command()
+def apply(
+    file: Annotated[str, typer.Argument(help="File of engines; left out: what is held back.")] = "",
+    confirm: Annotated[str, typer.Option(help="Digest of a listing that takes much away.")] = "",
+    run: RunDir = DEFAULT_RUN,
+    as_json: AsJson = False,
+) -> None:
+    """Have every router take a file of engines, or confirm the one that it holds back."""
+    question: dict[str, Any] = {"ask": "apply", "confirm": confirm}
+    if file:
+        try:
+            question["text"] = Path(file).read_text()
+        except (OSError, UnicodeDecodeError) as problem:
+            typer.echo(f"{file}: can't be read: {problem}", err=True)
+            raise typer.Exit(2) from None
+    _all(run, question, as_json)
+
+
+@app.command()
+def rollback(
+    to: Annotated[int, typer.Option(help="Generation; left out: the one before.")] = 0,
+    run: RunDir = DEFAULT_RUN,
+    as_json: AsJson = False,
+) -> None:
+    """Have every router go back to an earlier generation of its file of engines."""
+    _all(run, {"ask": "rollback", "to": to}, as_json)
+
+
+@app.command()
+def diff(file: Path, now: Path, settings: Path, as_json: AsJson = False) -> None:
+    """What taking FILE in place of NOW would do; exit 1 if it would be refused or held back."""
+    from lifthead.members.listing import change, listing
+
+    fleet = _fleet(settings)
+    try:
+        then, before = (listing(script.engines(path.read_text(), str(path))) for path in (file, now))
+    except (script.ScriptError, OSError, UnicodeDecodeError) as problem:
+        typer.echo(str(problem), err=True)
+        raise typer.Exit(2) from None
+    found = change(before, then, fleet)
+    if as_json:
+        _json(found.plain() | {"digest": then.digest})
+    else:
+        _table(
+            [{"what": key, "engines": str(value)} for key, value in found.plain().items()],
+            f"digest {then.digest}",
+        )
+    if found.refused or found.held:
+        raise typer.Exit(1)
+
+
 @app.command()
 def drain(name: str, run: RunDir = DEFAULT_RUN, undo: bool = False, as_json: AsJson = False) -> None:
     """Have a router take no more reqs; balancers are told `drain`."""
--- a/lifthead/daemon/serve.py
+++ b/lifthead/daemon/serve.py
@@ -21,13 +21,18 @@
 from lifthead.daemon.gauges import Gauges
 from lifthead.daemon.host import Host, now
 from lifthead.deployment.derive import deployment
-from lifthead.deployment.fleet import Fleet
+from lifthead.deployment.fleet import EngineSpec, Fleet
 from lifthead.engines.codec import ListedEngine, ListNews
 from lifthead.engines.listing import follow
 from lifthead.fleet import admin, health
 from lifthead.http1 import Message
+from lifthead.ledger.disk import Directory
 from lifthead.ledger.keeper import Keeper, open_journal
 from lifthead.ledger.quota import Budget, Quota
+from lifthead.members import watch
+from lifthead.members.roster import Outcome, Roster
+from lifthead.members.store import Store
+from lifthead.members.view import View
 
 BACKLOG = 4096
 LAG_EVERY = 0.05
@@ -59,6 +64,8 @@
             bill = Biller(self.keeper, self.quota)
             bill.take_up(list(budgets))
         self.biller = bill
+        self.view = View()
+        self.roster: Roster | None = None
         self.host = Host(name, start, fleet.limits, tasks, self.gauges, log, grace, resumes, bill, decide)
         self.clients = Clients(fleet.limits, self.answer)
         self.stopping = asyncio.Event()
@@ -67,6 +74,43 @@
         self.addresses: dict[str, str] = {}
         self._lag = 0.0
 
+    # Which engines there are.
+
+    def on_file(self, text: str) -> None:
+        """The watched file of engines has changed."""
+        assert self.roster
+        outcome = self.roster.offer(text, "engines")
+        say = self.log.info if outcome.taken else self.log.error
+        say(
+            "file of engines",
+            taken=outcome.taken,
+            why=outcome.why,
+            digest=outcome.digest,
+            generation=outcome.generation,
+            **outcome.change,
+        )
+        if outcome.taken:
+            self.tell_file()
+
+    def tell_file(self) -> None:
+        assert self.roster
+        self.on_source("file", of_specs(self.roster.now.engines), True)
+
+    def on_push(self, news: ListNews) -> None:
+        self.on_source("push", news.engines, news.whole)
+
+    def on_source(self, source: str, engines: list[ListedEngine], whole: bool) -> None:
+        """A source spoke: what of it changes the view is told to the module."""
+        kept_out = self.view.tell(source, engines, whole, now())
+        if kept_out:
+            self.log.error("a list of engines is kept out", source=source, why=kept_out)
+        self.tell_changes()
+
+    def tell_changes(self) -> None:
+        changes = self.view.changes(now())
+        if changes or self.view.members:
+            self.host.on_list(ListNews(False, changes))
+
     def condition(self) -> health.Condition:
         return health.Condition(
             listed=self.host.listed_at > 0,
@@ -134,6 +178,13 @@
                 }
                 for hand in self.host.in_hand.values()
             ],
+            "members": lambda _: {
+                "file": self.roster.state() if self.roster else None,
+                "sources": self.view.sources(now()),
+                "engines": self.view.rows(now()),
+            },
+            "apply": self._apply,
+            "rollback": self._rollback,
             "drain": self._drain,
             "stop": lambda _: self._stop(),
         }
@@ -160,10 +211,37 @@
         self.log.info("drain", on=self.drained, reqs=len(self.host.in_hand))
         return self.state()
 
+    def _apply(self, question: dict[str, Any]) -> dict[str, Any]:
+        if self.roster is None:
+            return {"error": "this router follows no file of engines, expected --engines FILE at its start"}
+        if "text" in question:
+            outcome = self.roster.offer(str(question["text"]), "engines", str(question.get("confirm", "")))
+        else:
+            outcome = self.roster.confirm(str(question.get("confirm", "")))
+        return self._outcome(outcome)
+
+    def _rollback(self, question: dict[str, Any]) -> dict[str, Any]:
+        if self.roster is None:
+            return {"error": "this router follows no file of engines, expected --engines FILE at its start"}
+        return self._outcome(self.roster.rollback(int(question.get("to", 0))))
+
+    def _outcome(self, outcome: Outcome) -> dict[str, Any]:
+        if outcome.taken:
+            self.tell_file()
+        self.log.info("listing", taken=outcome.taken, why=outcome.why, generation=outcome.generation)
+        return msgspec.to_builtins(outcome)
+
     def _stop(self) -> dict[str, Any]:
         self.stopping.set()
         return self.state()
 
+    async def settle(self) -> None:
+        """Engines that flapped come back once they have been quiet."""
+        while True:
+            await asyncio.sleep(0.5)
+            if any(member.went and member.told.readiness != "ready" for member in self.view.members.values()):
+                self.tell_changes()
+
     async def measure(self) -> None:
         """The loop's own lag, and gauges that are read from here."""
         loop = asyncio.get_running_loop()
@@ -182,15 +260,12 @@
                         self.host.router.on_share(tenant, part)
 
 
-def fixed_list(fleet: Fleet) -> ListNews:
-    """The engines that the settings name, where no service pushes a list."""
-    return ListNews(
-        True,
-        [
-            ListedEngine(engine.name, engine.address, engine.zone, engine.cell, engine.kind, engine.weight)
-            for engine in fleet.engines.values()
-        ],
-    )
+def of_specs(specs: dict[str, EngineSpec]) -> list[ListedEngine]:
+    """The engines that settings or a file name, as the list's entries."""
+    return [
+        ListedEngine(spec.name, spec.address, spec.zone, spec.cell, spec.kind, spec.weight)
+        for spec in specs.values()
+    ]
 
 
 async def serve(
@@ -201,6 +276,7 @@
     seed: int,
     log: Any,
     decide: Callable[..., Router] = Router,
+    engine_file: Path | None = None,
 ) -> None:
     """Runs the router until it is told to stop; returns once all that it had taken is answered. `decide`
     takes the module's place where baselines are measured beside it."""
@@ -234,10 +310,17 @@
             service += [tasks.create_task(daemon.keeper.write()), tasks.create_task(daemon.keeper.export())]
         if list_url:
             service.append(
-                tasks.create_task(follow(list_url, name, daemon.host.on_list, daemon.host.on_list_lost, log))
+                tasks.create_task(follow(list_url, name, daemon.on_push, daemon.host.on_list_lost, log))
             )
-        else:
-            daemon.host.on_list(fixed_list(fleet))
+        if engine_file:
+            store = Store(Directory(run_dir / f"engines-{name}"))
+            daemon.roster = Roster(fleet, store)
+            if daemon.roster.generation:
+                daemon.tell_file()  # the last good one: a restart does not begin with nothing
+            service.append(tasks.create_task(watch.follow(engine_file, daemon.on_file, log)))
+        elif not list_url:
+            daemon.on_source("settings", of_specs(fleet.engines), True)
+        service.append(tasks.create_task(daemon.settle()))
         log.info("serving", router=name, pid=os.getpid(), admin=str(socket), **daemon.addresses)
         print(
             msgspec.json.encode(
--- a/lifthead/deployment/script.py
+++ b/lifthead/deployment/script.py
@@ -63,6 +63,31 @@
             _checked(fleet.Trouble, {"what": what, **fields}, "trouble")
         ),
     }
+    _execute(text, name, places)
+    problem = inconsistency(found)
+    if problem:
+        raise ScriptError(f"{name}: {problem}")
+    return found
+
+
+def engines(text: str, name: str) -> dict[str, fleet.EngineSpec]:
+    """The engines of a file that holds nothing else; `total(N)` guards against one that was cut short."""
+    found: dict[str, fleet.EngineSpec] = {}
+    totals: list[int] = []
+
+    def total(many: int) -> None:
+        if not isinstance(many, int):
+            raise EvalError(f"total: expected a whole number, got {many!r}")
+        totals.append(many)
+
+    _execute(text, name, {"engine": _keyed(fleet.EngineSpec, found, "name"), "total": total})
+    if totals and totals[0] != len(found):
+        raise ScriptError(f"{name}: total({totals[0]}) stands in it, but {len(found)} engines do")
+    return found
+
+
+def _execute(text: str, name: str, places: dict[str, Any]) -> None:
+    """Runs a script with these functions and no others."""
     builtins = {word: BuiltinFunction(word, act) for word, act in places.items()}
     try:
         starlark.exec_file(
@@ -76,10 +101,6 @@
         ) from None
     except EvalError as problem:
         raise ScriptError(f"{_place(problem, name)}: {problem.message}") from None
-    problem = inconsistency(found)
-    if problem:
-        raise ScriptError(f"{name}: {problem}")
-    return found
 
 
 def _place(problem: EvalError, name: str) -> str:
--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,344 @@
+"""Which engines there are: files that are wrong in every way, sources that contradict, and the sockets."""
+
+import asyncio
+import json
+import os
+import signal
+import time
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from loopback import SCRIPT, body, http, raw
+from test_fleet import Processes, address, lifthead
+from test_ledger import CrashError, MemoryDisk
+
+from lifthead.deployment import script
+from lifthead.engines.codec import ListedEngine
+from lifthead.members.listing import change, listing
+from lifthead.members.roster import Roster
+from lifthead.members.store import Store
+from lifthead.members.view import CAUTION, FLAPS, QUIET, View
+
+S = 1_000_000
+KINDS = {"r": "reader", "w": "writer"}
+FOUR = SCRIPT.replace('router("r"', 'engine("wr3", zone = "a", kind = "writer")\nrouter("r"')
+FLEET = script.run(FOUR, "fleet")
+
+
+def text(*names, total=None, **fields):
+    lines = [
+        f'engine("{name}", zone = "a", kind = "{KINDS[name[0]]}", address = "h:{at}")'
+        for at, name in enumerate(names, 1)
+    ]
+    return "\n".join(lines + ([f"total({total})"] if total is not None else [])) + "\n"
+
+
+TEN = [f"r{n}" for n in range(4)] + [f"w{n}" for n in range(6)]
+
+
+def roster():
+    made = Roster(FLEET, Store(MemoryDisk()))
+    assert made.offer(text(*TEN), "f").taken and made.generation == 1
+    return made
+
+
+@pytest.mark.parametrize(
+    ("said", "why"),
+    [
+        (text(*TEN)[:-9], "syntax error"),
+        (text(*TEN[:9], total=10), "total(10) stands in it, but 9 engines do"),
+        ("", "no engine in it writes"),
+        (text("r1", "r2"), "no engine in it writes"),
+        (text("w1", "w1"), "engine 'w1' stands twice".replace("engine", "enginespec")),
+        (
+            text("w1") + 'engine("w2", zone = "a", kind = "writer", address = "h:1")',
+            "field address: h:1 is w1's already",
+        ),
+        (text("w1") + 'engine("w2", zone = "a", kind = "writer")', "expected a port"),
+        (text("w1") + 'engine("w2", zone = "a", kind = "none", address = "h:2")', "is no kind()"),
+        (text("w1") + "router('x', zone = 'a')", "name 'router' is not defined"),
+        (text("w1") + "x = [0 for i in range(100000000)]", "too"),
+        (text(*(f"w{n}" for n in range(6, 12))), "it takes away all 6 writers in use"),
+        (text(*TEN[4:]), "it takes away 4 of 10 engines"),
+    ],
+)
+def test_a_file_that_is_not_taken_leaves_all_as_it_was(said, why):
+    made = roster()
+    before = made.now
+    outcome = made.offer(said, "f")
+    assert not outcome.taken and why in outcome.why and "\n" not in outcome.why
+    assert made.now is before and made.generation == 1 and made.state()["rejected"]
+
+
+def test_what_is_held_back_is_taken_once_it_is_confirmed():
+    made = roster()
+    outcome = made.offer(text(*TEN[4:]), "f")
+    assert made.held and not made.confirm("another").taken
+    assert made.confirm(outcome.digest).taken and set(made.now.engines) == set(TEN[4:]) and made.held is None
+    assert made.offer(text(*TEN), "f").taken
+    again = made.offer(text(*TEN[4:]), "f", confirmed=outcome.digest)
+    assert again.taken and again.generation == 4
+    assert made.rollback().taken and set(made.now.engines) == set(TEN)
+    assert made.rollback(1).taken and not made.rollback(99).taken
+
+
+def test_the_same_listing_written_otherwise_is_no_change():
+    made = roster()
+    outcome = made.offer("# another order\n" + "".join(reversed(text(*TEN).splitlines(True))), "f")
+    assert outcome.taken and outcome.change == {} and made.generation == 1
+
+
+@given(st.text(max_size=300))
+def test_no_text_breaks_the_roster(said):
+    made = roster()
+    made.offer(said, "f")
+    assert set(made.now.engines) == set(TEN)
+
+
+@given(st.integers(0, 600))
+def test_a_file_that_was_cut_short_is_not_taken(cut):
+    whole = text(*TEN, total=10).replace("total(10)\n", "")
+    made, said = roster(), "total(10)\n" + whole
+    made.offer(said[: min(cut, len(said) - 2)], "f")
+    assert set(made.now.engines) == set(TEN)
+
+
+def test_a_crash_at_every_call_of_the_store_leaves_a_generation_that_was_taken():
+    for call in range(1, 40):
+        disk = MemoryDisk(fail_at=call, seed=call)
+        good = []
+        try:
+            store = Store(disk)
+            for many in range(5, 11):
+                store.put(listing(script.engines(text(*TEN[-many:]), "f")))
+                good.append(many)
+        except CrashError:
+            pass
+        number, found = Store(disk.after_crash()).latest()
+        if good:
+            assert found and len(found.engines) >= good[-1] and number >= len(good)
+
+
+def test_changes_name_the_fields():
+    one = listing(script.engines(text("w1", "w2"), "f"))
+    two = listing(
+        script.engines(
+            text("w1", "w2").replace('zone = "a"', 'zone = "b"', 1) + text("r9").replace("h:1", "h:9"), "f"
+        )
+    )
+    found = change(one, two, FLEET)
+    assert (found.added, found.removed, found.changed) == (["r9"], [], {"w1": ["zone"]})
+
+
+# The view.
+
+
+def said(name, readiness="ready", started=0, **more):
+    return ListedEngine(name, f"h:{name}", "a", 0, "writer", 1.0, started, readiness, **more)
+
+
+@pytest.mark.parametrize(
+    ("file", "push", "told"),
+    [
+        ("ready", "ready", "ready"),
+        ("ready", "draining", "draining"),
+        ("draining", "ready", "draining"),
+        ("ready", "gone", "gone"),
+        ("ready", None, "gone"),
+        (None, "ready", None),
+    ],
+)
+def test_the_more_cautious_word_holds_and_the_file_names_the_engines(file, push, told):
+    view = View()
+    view.tell("file", [said("other"), *([said("w", file)] if file else [])], True, 1)
+    view.tell("push", [said("other"), *([said("w", push)] if push else [])], True, 2)
+    found = {engine.name: engine.readiness for engine in view.changes(3)}
+    assert found.get("w") == (told if told != "gone" else None)
+
+
+def test_an_empty_list_is_kept_out_and_a_lost_source_leaves_its_word():
+    view = View()
+    view.tell("push", [said("a"), said("b")], True, 1)
+    assert len(view.changes(1)) == 2
+    assert view.tell("push", [], True, 2) and view.changes(2) == []
+    assert view.sources(3 * S)[0]["kept_out"] and view.sources(3 * S)[0]["age_s"] > 2
+    assert view.tell("push", [said("a", "gone"), said("b", "gone")], True, 3) == ""
+    assert [engine.readiness for engine in view.changes(4)] == ["gone", "gone"]
+
+
+def test_flapping_is_damped_but_what_goes_away_goes_at_once():
+    view, now = View(), 0
+    view.tell("push", [said("a")], True, now)
+    view.changes(now)
+    for _ in range(FLAPS):
+        now += S
+        view.tell("push", [said("a", "draining")], False, now)
+        assert [engine.readiness for engine in view.changes(now)] == ["draining"]
+        now += S
+        view.tell("push", [said("a")], False, now)
+        told = view.changes(now)
+    assert told == []
+    assert view.changes(now + QUIET - 1) == [] and [e.readiness for e in view.changes(now + QUIET)] == [
+        "ready"
+    ]
+
+
+WORDS = st.lists(
+    st.tuples(
+        st.sampled_from(["file", "push", "seen"]),
+        st.booleans(),
+        st.dictionaries(
+            st.sampled_from("abcdef"), st.sampled_from(["ready", "draining", "gone"]), max_size=6
+        ),
+        st.integers(0, 20 * S),
+    ),
+    max_size=25,
+)
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(WORDS)
+def test_any_order_of_sources_never_gives_work_to_an_engine_that_one_calls_away(words):
+    view, now, mirror, latest, wholes = View(), 0, {}, {}, set()
+    for source, whole, names, passed in words:
+        now += passed
+        kept_out = view.tell(source, [said(name, readiness) for name, readiness in names.items()], whole, now)
+        if not kept_out:
+            latest[source] = dict(names) if whole else latest.get(source, {}) | names
+            wholes |= {source} if whole else set()
+        told = view.changes(now)
+        assert len({engine.name for engine in told}) == len(told)
+        mirror |= {engine.name: engine.readiness for engine in told}
+        for name, readiness in mirror.items():
+            spoken = [each[name] for each in latest.values() if name in each]
+            spoken += ["gone" for source, each in latest.items() if source in wholes and name not in each]
+            worst = max(map(CAUTION.get, spoken), default=2)
+            assert CAUTION[readiness] >= worst, (name, readiness, spoken)
+        assert view.changes(now) == []
+
+
+# On sockets.
+
+
+async def eventually(true, within=5.0):
+    async with asyncio.timeout(within):
+        while not (found := await true()):
+            await asyncio.sleep(0.02)
+    return found
+
+
+def test_a_watched_file_on_real_processes(tmp_path):
+    """Replaced, swapped, broken, emptied, removed; what is gone gets nothing new after the grace."""
+
+    async def play():
+        async with Processes(tmp_path, FOUR) as stage:
+            engines = {name: said["address"] for name, said in stage.engines.items()}
+
+            def lines(*names, total=None):
+                made = [
+                    f'engine("{name}", zone = "a", kind = "{KINDS[name[0]]}", address = "{engines[name]}")'
+                    for name in names
+                ]
+                return "\n".join([*made, f"total({len(names) if total is None else total})", ""])
+
+            def put(said):
+                (tmp_path / "new").write_text(said)
+                os.replace(tmp_path / "new", watched)
+
+            watched = tmp_path / "engines.star"
+            put(lines("rd", "wr", "wr2", "wr3"))
+            await stage.end("r", signal.SIGKILL)
+            original = stage._run
+
+            async def with_file(name, words):
+                at = words.index("--list")
+                return await original(name, [*words[:at], "--engines", str(watched), *words[at + 2 :]])
+
+            stage._run = with_file
+            await stage.start_router("r")
+            at = address(stage)
+            assert b"[DONE]" in await raw(at, http(body(stream=True)))
+
+            async def state():
+                done = await asyncio.to_thread(lifthead, "members", "--run", tmp_path, "--json")
+                return json.loads(done.stdout)["r"]
+
+            async def generation(number):
+                found = await state()
+                return found if found["file"]["generation"] == number else None
+
+            tries, over = [], asyncio.Event()
+
+            async def load():
+                number = 0
+                while not over.is_set():
+                    number += 1
+                    tries.append(asyncio.create_task(raw(at, http(body(f"{number}")), within=8)))
+                    await asyncio.sleep(0.01)
+
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(load())
+                await asyncio.sleep(0.3)
+                changed = time.monotonic_ns() // 1000
+                put(lines("rd", "wr", "wr3"))
+                await eventually(lambda: generation(2))
+                for bad in ("engine(", lines("rd", "wr", total=9), "", lines("rd")):
+                    put(bad)
+                    await eventually(lambda: _rejected(state))
+                    assert (await state())["file"]["generation"] == 2
+                    put(lines("rd", "wr", "wr3"))
+                    await eventually(lambda: _accepted(state))
+                os.remove(watched)
+                await asyncio.sleep(0.3)
+                put(lines("rd", "wr2"))  # takes away every writer in use
+                held = await eventually(lambda: _held(state))
+                assert (await state())["file"]["generation"] == 2
+                done = await asyncio.to_thread(lifthead, "apply", "--confirm", held, "--run", tmp_path)
+                assert done.returncode == 0
+                await asyncio.sleep(0.2)
+                link = tmp_path / "other.star"
+                link.write_text(lines("rd", "wr", "wr2", "wr3"))
+                os.symlink(link, tmp_path / "swap")
+                os.replace(tmp_path / "swap", watched)
+                await eventually(lambda: generation(4))
+                assert (await asyncio.to_thread(lifthead, "rollback", "--run", tmp_path)).returncode == 0
+                over.set()
+            for answer in await asyncio.gather(*tries):
+                assert int(answer.split()[1]) in (200, 503)
+            sent = [
+                json.loads(line)
+                for line in (tmp_path / "engine-wr2.jsonl").read_text().splitlines()
+                if '"forward"' in line
+            ]
+            confirmed = max(line["t"] for line in sent)
+            between = [line for line in sent if changed + 250_000 < line["t"] < changed + 1_000_000]
+            assert sent and not between and confirmed > changed + 1_000_000
+            os.remove(watched)
+            await stage.end("r", signal.SIGKILL)
+            await stage.start_router("r")  # without the file: from the last good generation
+            assert b"[DONE]" in await raw(address(stage), http(body(stream=True)))
+            assert (await state())["file"]["generation"] == 5
+
+    asyncio.run(asyncio.wait_for(play(), 60))
+
+
+async def _rejected(state):
+    return (await state())["file"]["rejected"]
+
+
+async def _accepted(state):
+    return not (await state())["file"]["rejected"]
+
+
+async def _held(state):
+    return (await state())["file"]["held"]
+
+
+def test_diff_says_what_a_file_would_do(tmp_path):
+    for name, said_ in (("now", text(*TEN)), ("then", text(*TEN[4:]))):
+        (tmp_path / name).write_text(said_)
+    (tmp_path / "fleet.star").write_text(SCRIPT)
+    done = lifthead("diff", tmp_path / "then", tmp_path / "now", tmp_path / "fleet.star", "--json")
+    assert done.returncode == 1 and json.loads(done.stdout)["held"] == "it takes away 4 of 10 engines"
+    assert lifthead("diff", tmp_path / "now", tmp_path / "now", tmp_path / "fleet.star").returncode == 0
