Decisions look at engines in fewer passes: 2.5 times cheaper at 2,000, the same choices

Change: only engines that can look bad are asked whether they do; readers are ranked only where they may be chosen; a writer's room is asked for in its zone first; the look round passes engines with nothing out. Held against the plain forms on 300 random fleets, draws included.

Measured: long req at 2,000 engines 9.0 ms before, 3.6 now; short 4.5 and 1.8; look round 1.75 and 0.14.

--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -327,14 +327,15 @@
         if not usable:
             return None
         key = req.demand.beginning or req.demand.session
-        order = sorted(usable, key=lambda engine: (engine.zone != home, rank(key, engine.name)))
         # Exception, a hot beginning: a reader is passed over for the next in the key's order when what waits
         # there and what it would have to read of this prompt is clearly more than elsewhere. Also covers a
         # zone that gets too much to read. The unread part weighs more than the wait: readers that pass
         # prompts on for their queues' sake lose each other's texts until nothing is kept anywhere.
         costs = {e.name: self._backlog(e) + ANEW * self._unread(e, req) for e in usable}
         bound = HOT_TIMES * min(costs.values()) + HOT_SLACK
-        return next(engine for engine in order if costs[engine.name] <= bound)
+        fit = [engine for engine in usable if costs[engine.name] <= bound]
+        near = [engine for engine in fit if engine.zone == home] or fit
+        return min(near, key=lambda engine: rank(key, engine.name))
 
     def _stand_in(self, req: Req, home: str) -> Engine | None:
         able = [
@@ -384,9 +385,9 @@
             usable = [engine for engine in usable if engine.role == "both"]
         # Exception, a full writer: it leaves the draw while others in the zone, or else anywhere, have room.
         # Covers what own tokens don't show: others' reqs, few slots, slow streams.
-        room = [engine for engine in usable if self._pressure(engine) < 1]
-        in_zone = [e for e in room if e.zone == zone] or room
-        in_zone = in_zone or [e for e in usable if e.zone == zone] or usable
+        near = [e for e in usable if e.zone == zone]
+        in_zone = [e for e in near if self._pressure(e) < 1]
+        in_zone = in_zone or [e for e in usable if self._pressure(e) < 1] or near or usable
         if not in_zone:
             return None
         by_weight = [engine.weight for engine in in_zone]
@@ -400,19 +401,23 @@
     def _usable(self, engines: list[Engine], req: Req) -> list[Engine]:
         """Engines that may get this req now: allowed by the rules, not tried yet, well so far as is told."""
         now = self.host.now()
-        up = [engine for engine in engines if engine.failures <= 1]
-        well = {engine.name for engine in up if not engine.strikes and not self._silent(engine, now)}
-        trust_all = len(well) * 2 < len(up)  # most of a role looking bad says nothing of single engines
+        # Only one with an unanswered forward or something against it can look bad: few of a large fleet.
+        doubts = [e for e in engines if e.out or e.strikes or e.failures > 1]
+        down = {e.name for e in doubts if e.failures > 1}
+        ill = {e.name for e in doubts if e.failures > 1 or e.strikes or self._silent(e, now)}
+        # Most of a role looking bad says nothing of single engines.
+        trust_all = (len(engines) - len(ill)) * 2 < len(engines) - len(down)
+        anywhere, group = req.may_have_run is None, req.demand.group
         allowed = [
-            engine
-            for engine in engines
-            if engine.name not in req.tried
-            and (not engine.memory or req.prompt <= engine.memory)
-            and self._in_group(engine, req, now)
-            and self._cold_room(engine, now)
-            and (engine.name in well or self._trial(engine, req, now) or trust_all and engine in up)
+            e
+            for e in engines
+            if e.name not in req.tried
+            and (not e.memory or req.prompt <= e.memory)
+            and (anywhere or self._in_group(e, req, now))
+            and (now >= e.cold_until or self._cold_room(e, now))
+            and (e.name not in ill or self._trial(e, req, now) or (trust_all and e.name not in down))
         ]
-        return [e for e in allowed if now >= e.barred.get(req.demand.group, 0)] or allowed
+        return [e for e in allowed if not e.barred or now >= e.barred.get(group, 0)] or allowed
 
     def _in_group(self, engine: Engine, req: Req, now: int) -> bool:
         """Rule 2 for keyed reqs: once one may have run, only engines that drop its repeat, while they do."""
@@ -500,7 +505,7 @@
         """What a silent engine holds is called off and tried elsewhere; what must not run twice stays there
         and hopes. While most of a role are silent, work would only be thrown from one to the next."""
         now = self.host.now()
-        silent = [engine for engine in self.readers + self.writers if self._silent(engine, now)]
+        silent = [e for e in self.readers + self.writers if e.out and self._silent(e, now)]
         for engine in silent:
             role = self.readers if engine.role == "read" else self.writers
             if not self.may_cancel or sum(other in silent for other in role) * 2 > len(role):
