--- a/lifthead/cli.py
+++ b/lifthead/cli.py
@@ -106,6 +106,7 @@
 ) -> None:
     """Run one router until SIGTERM; then answer all it holds and exit 0."""
     from lifthead.daemon import serve as daemon
+    from lifthead.ledger.keeper import LockedError
 
     fleet = _fleet(file)
     name = router or (next(iter(fleet.routers)) if len(fleet.routers) == 1 else "")
@@ -114,7 +115,14 @@
         raise typer.Exit(2)
     out, drawn = daemon.logger(log or None), seed or secrets.randbits(63)
     watched = Path(engines_file) if engines_file else None
-    asyncio.run(daemon.serve(fleet, name, engine_list, run, drawn, out, engine_file=watched))
+    problems: list[str] = []
+    try:
+        asyncio.run(daemon.serve(fleet, name, engine_list, run, drawn, out, engine_file=watched))
+    except* (LockedError, OSError) as group:  # a port or a ledger that another process has
+        problems = [str(problem) for problem in group.exceptions]
+    if problems:
+        typer.echo(f"{name}: {problems[0]}", err=True)
+        raise typer.Exit(2)
 
 
 @app.command()
--- a/lifthead/standins/day.py
+++ b/lifthead/standins/day.py
@@ -163,6 +163,8 @@
 async def play(
     fleet: Fleet, script: Path, out: Path, seed: int, serve: tuple[str, ...] = ()
 ) -> dict[str, Any]:
-    started = now()
+    started, task = now(), asyncio.current_task()
+    if task:  # a day that is stopped takes its processes along
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     summary = await Day(fleet, script, out, seed, serve).play()
     return summary | {"took_s": round((now() - started) / 1e6, 1)}
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -205,6 +205,38 @@
     assert (condition.word, condition.ready) == (word, ready)
 
 
+def test_a_port_or_a_ledger_that_another_has_is_one_line(tmp_path):
+    async def play():
+        async with Processes(tmp_path, SCRIPT + "ledger()\n") as stage:
+            at = address(stage)
+            for text in (
+                SCRIPT + "ledger()\n",
+                SCRIPT.replace('zone = "a")\ngroup', f'zone = "a", listen = "{at}")\ngroup'),
+            ):
+                file = tmp_path / "second.star"
+                file.write_text(text)
+                run_dir = tmp_path if "ledger" in text else tmp_path / "other"
+                found = await asyncio.to_thread(lifthead, "serve", file, "--run", run_dir)
+                assert found.returncode == 2 and "Traceback" not in found.stderr, found.stderr
+                assert found.stderr.splitlines()[-1].startswith("r: ")
+
+    run(play())
+
+
+def test_a_day_that_is_stopped_takes_its_processes_along(tmp_path):
+    day = subprocess.Popen(
+        [sys.executable, "-m", "lifthead.cli", "day", "examples/quiet.star", "--out", tmp_path],
+        stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL,
+    )  # fmt: skip
+    until = time.monotonic() + 20
+    while not list(tmp_path.glob("*.sock")) and time.monotonic() < until:
+        time.sleep(0.1)
+    children = Path(f"/proc/{day.pid}/task/{day.pid}/children").read_text().split()
+    day.terminate()
+    day.wait(20)
+    assert len(children) > 5 and not [pid for pid in children if Path(f"/proc/{pid}").exists()]
+
+
 def test_up_prints_one_line_and_stops_cleanly(tmp_path):
     file = tmp_path / "fleet.star"
     file.write_text(SCRIPT)
