--- a/examples/bad-day.star
+++ b/examples/bad-day.star
@@ -23,13 +23,17 @@
 group("change", models = ["lift-change"], effect = "non-replayable", target = "2.5s",
       target_per_1000 = "120ms", deadline = "12s", importance = 2.0, late_share = 0.3)
 
+group("top-up", models = ["lift-top-up"], effect = "keyed", keyed_within = "zone", keyed_for = "4s", target = "1.5s",
+      target_per_1000 = "40ms", deadline = "6s", importance = 1.5, late_share = 0.1)
+
 tenant("depot", keys = ["key-depot-0001"], share_per_s = 40.0)
 tenant("office", keys = ["key-office-0001"], share_per_s = 20.0)
 tenant("kiosk", keys = ["key-kiosk-0001"], share_per_s = 10.0)
 
 crowd(per_s = 65, length = "155s", retries = 1, leaves = 0.03, slow = 0.03, unstreamed = 0.1, mix = [
-    mix(group = "chat", share = 0.8, new_tokens = 300, max_tokens = 24, beginning_tokens = 1500, turns = 3),
+    mix(group = "chat", share = 0.7, new_tokens = 300, max_tokens = 24, beginning_tokens = 1500, turns = 3),
     mix(group = "change", share = 0.2, new_tokens = 3500, max_tokens = 32, beginning_share = 0.2, turns = 1),
+    mix(group = "top-up", share = 0.1, new_tokens = 600, max_tokens = 24, beginning_share = 0.5, turns = 2),
 ])
 
 trouble("crash", at = "10s", lasts = "6s", engines = ["cell:1"])              # a rack restarts, and comes back cold
--- a/lifthead/standins/stage.py
+++ b/lifthead/standins/stage.py
@@ -15,7 +15,7 @@
 from lifthead.deployment.fleet import Fleet
 from lifthead.standins import wire
 from lifthead.standins.listing import ListService
-from lifthead.standins.record import Record, now
+from lifthead.standins.record import Record
 
 START_WITHIN = 60.0
 
@@ -187,5 +187,4 @@
             "models": [model for group in self.fleet.groups.values() for model in group.models],
             "api_keys": {tenant.name: tenant.keys[0] for tenant in self.fleet.tenants.values()},
             "engines": [dict(said) for said in self.engines.values()],
-            "at": now(),
         }
