--- a/lifthead/chat/codec.py
+++ b/lifthead/chat/codec.py
@@ -184,6 +184,14 @@
     return _encode({"error": {"message": said, "type": kind, "param": param, "code": code}})
 
 
+def with_id(block: bytes, said: str) -> bytes:
+    """A block of whole events, the last of them with an event id: it tells a client that comes back, and an
+    operator, how far its stream had come."""
+    last = block.rfind(b"\n\n", 0, len(block) - 2)
+    at = last + 2 if last >= 0 else 0
+    return block[:at] + f"id: {said}\n".encode() + block[at:]
+
+
 def error_event(code: str, said: str) -> bytes:
     """What a begun stream that can't go on ends with: never a silent end."""
     return b"data: " + error(502, code, said) + b"\n\n"
--- a/lifthead/daemon/host.py
+++ b/lifthead/daemon/host.py
@@ -426,7 +426,9 @@
                 hand.written.add(ready)
                 if events.tokens > tokens:
                     self.notice.text(hand.serial, now())
-                if ready and not hand.reply.send(ready):
+                if ready and not hand.reply.send(
+                    chat.with_id(ready, f"{hand.name}:{hand.legs}:{events.tokens}")
+                ):
                     limit.reschedule(None)  # a slow client is not a stalled engine
                     self.notice.rests(hand.serial)
                     await hand.reply.room()
--- a/lifthead/standins/crowd.py
+++ b/lifthead/standins/crowd.py
@@ -253,7 +253,7 @@
         while data := await client.more():
             *events, left = (left + data).split(b"\n\n")
             for event in events:
-                said = event.removeprefix(b"data: ")
+                said = event.partition(b"data: ")[2]
                 if end:
                     return "extra"  # something came after the final answer
                 if said == b"[DONE]":
