Engines are drained by command, with a limit, progress and undo, and stay so over a restart

Change: members/drains.py: selectors, the operator as one more source of the view, a refusal where no writer would be left; lifthead drain-engines.

Measured: on real processes drained writers got nothing 250 ms after the command, nor after the router was killed and started again; taken back, they got reqs.

--- a/lifthead/cli.py
+++ b/lifthead/cli.py
@@ -253,6 +253,41 @@
     _all(run, question, as_json)
 
 
+@app.command("drain-engines")
+def drain_engines(
+    selector: Annotated[
+        str, typer.Argument(help="Names, zone:A, cell:3, kind:K, with commas; none: progress.")
+    ] = "",
+    limit: Annotated[str, typer.Option(help="Streams that would outlive this are moved, such as 30s.")] = "",
+    undo: bool = False,
+    force: Annotated[bool, typer.Option(help="Also where no writer would be left.")] = False,
+    run: RunDir = DEFAULT_RUN,
+    as_json: AsJson = False,
+) -> None:
+    """Have every router drain engines, take that back, or tell how far it is; exit 1 if one did not."""
+    from lifthead.deployment.durations import micros
+
+    question: dict[str, Any] = {"ask": "drain engines", "undo": undo, "force": force}
+    if selector:
+        question["selector"] = selector
+    try:
+        question["limit"] = micros(limit) if limit else 0
+    except ValueError as problem:
+        typer.echo(f"--limit: {problem}", err=True)
+        raise typer.Exit(2) from None
+    question["limit"] = int(question["limit"])
+    said = _ask(run, question)
+    if as_json:
+        _json(said)
+    for name, found in said.items() if not as_json else ():
+        if found is None or not found["taken"]:
+            typer.echo(f"{name}: {found['why'] if found else 'dead'}")
+        else:
+            _table(found["engines"], f"{name}: draining")
+    if not all(found and found["taken"] for found in said.values()):
+        raise typer.Exit(1)
+
+
 @app.command()
 def rollback(
     to: Annotated[int, typer.Option(help="Generation; left out: the one before.")] = 0,
--- a/lifthead/daemon/serve.py
+++ b/lifthead/daemon/serve.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import sys
+import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -30,6 +31,7 @@
 from lifthead.ledger.keeper import Keeper, open_journal
 from lifthead.ledger.quota import Budget, Quota
 from lifthead.members import watch
+from lifthead.members.drains import Drains, SelectorError, chosen
 from lifthead.members.roster import Outcome, Roster
 from lifthead.members.store import Store
 from lifthead.members.view import View
@@ -66,6 +68,10 @@
         self.biller = bill
         self.view = View()
         self.roster: Roster | None = None
+        self.drains = Drains(start.roles)
+        self._drains_file = run_dir / f"drains-{name}.json"
+        if self._drains_file.exists():  # what an operator drained stays so over a restart
+            self.drains.asked = msgspec.json.decode(self._drains_file.read_bytes(), type=dict[str, int])
         self.host = Host(name, start, fleet.limits, tasks, self.gauges, log, grace, resumes, bill, decide)
         self.clients = Clients(fleet.limits, self.answer)
         self.stopping = asyncio.Event()
@@ -108,6 +114,12 @@
 
     def tell_changes(self) -> None:
         changes = self.view.changes(now())
+        if any(engine.name in self.drains.asked and engine.readiness == "ready" for engine in changes):
+            self.drains.tell(
+                self.view, now()
+            )  # named after the drain was asked: held before the module hears of it
+            drained = {engine.name: engine for engine in self.view.changes(now())}
+            changes = [drained.pop(engine.name, engine) for engine in changes] + list(drained.values())
         if changes or self.view.members:
             self.host.on_list(ListNews(False, changes))
 
@@ -185,6 +197,7 @@
             },
             "apply": self._apply,
             "rollback": self._rollback,
+            "drain engines": self._drain_engines,
             "drain": self._drain,
             "stop": lambda _: self._stop(),
         }
@@ -225,6 +238,33 @@
             return {"error": "this router follows no file of engines, expected --engines FILE at its start"}
         return self._outcome(self.roster.rollback(int(question.get("to", 0))))
 
+    def _drain_engines(self, question: dict[str, Any]) -> dict[str, Any]:
+        """Drains engines, takes that back, or with neither tells how far it is."""
+        wall = time.time_ns() // 1000
+        try:
+            if "selector" in question:
+                told = [member.told for member in self.view.members.values()]
+                names = chosen(str(question["selector"]), told)
+                if question.get("undo"):
+                    self.drains.undo(names, self.view)
+                elif (why := self.drains.refusal(names, self.view)) and not question.get("force"):
+                    return {"taken": False, "why": why, "engines": []}
+                else:
+                    limit = int(question.get("limit", 0))
+                    self.drains.drain(names, wall + limit if limit else 0, self.view, now())
+                part = self._drains_file.with_suffix(".part")
+                part.write_bytes(msgspec.json.encode(self.drains.asked))
+                part.replace(self._drains_file)
+                self.log.info("drain engines", engines=names, undo=bool(question.get("undo")))
+                self.tell_changes()
+        except (SelectorError, OSError) as problem:
+            return {"taken": False, "why": str(problem), "engines": []}
+        out: dict[str, int] = {}
+        for hand in self.host.in_hand.values():
+            if hand.out:
+                out[hand.out.engine] = out.get(hand.out.engine, 0) + 1
+        return {"taken": True, "why": "", "engines": self.drains.progress(out, wall)}
+
     def _outcome(self, outcome: Outcome) -> dict[str, Any]:
         if outcome.taken:
             self.tell_file()
--- a/lifthead/members/view.py
+++ b/lifthead/members/view.py
@@ -63,6 +63,12 @@
         found.at, found.kept_out = now, ""
         return ""
 
+    def withdraw(self, source: str, names: list[str]) -> None:
+        """A source takes back what it said of these engines."""
+        found = self._sources.get(source)
+        for name in names if found else ():
+            found.engines.pop(name, None)
+
     def changes(self, now: int) -> list[ListedEngine]:
         """What the module is to be told now; each engine once at most."""
         found = []
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -335,6 +335,44 @@
     return (await state())["file"]["held"]
 
 
+def test_engines_are_drained_by_command_and_stay_so_over_a_restart(tmp_path):
+    async def play():
+        async with Processes(tmp_path, FOUR) as stage:
+
+            def drain(*words):
+                return lifthead("drain-engines", *words, "--run", tmp_path, "--json")
+
+            refused = await asyncio.to_thread(drain, "kind:writer")
+            assert refused.returncode == 1 and "leave 0 of 3 ready writers" in refused.stdout
+            assert "chooses no engine" in (await asyncio.to_thread(drain, "zone:none")).stdout
+            assert "expected names" in (await asyncio.to_thread(drain, "zone:")).stdout
+            assert (await asyncio.to_thread(drain, "wr,wr2", "--limit", "30s")).returncode == 0
+            told = time.monotonic_ns() // 1000
+
+            async def answers(many):
+                said = [raw(address(stage), http(body(f"{n} {many}", stream=True))) for n in range(many)]
+                assert all(b"[DONE]" in answer for answer in await asyncio.gather(*said))
+
+            await answers(30)
+            await stage.end("r", signal.SIGKILL)
+            await stage.start_router("r")
+            await answers(30)
+            lines_ = [
+                json.loads(line)
+                for name in ("wr", "wr2")
+                for line in (tmp_path / f"engine-{name}.jsonl").read_text().splitlines()
+            ]
+            assert not [line for line in lines_ if line["ev"] == "forward" and line["t"] > told + 250_000]
+            progress = json.loads((await asyncio.to_thread(drain)).stdout)["r"]["engines"]
+            assert [(each["engine"], each["done"]) for each in progress] == [("wr", True), ("wr2", True)]
+            assert (await asyncio.to_thread(drain, "wr,wr2", "--undo")).returncode == 0
+            await answers(60)
+            lines_ = (tmp_path / "engine-wr.jsonl").read_text().splitlines()
+            assert any('"forward"' in line and json.loads(line)["t"] > told + 250_000 for line in lines_)
+
+    asyncio.run(asyncio.wait_for(play(), 60))
+
+
 def test_diff_says_what_a_file_would_do(tmp_path):
     for name, said_ in (("now", text(*TEN)), ("then", text(*TEN[4:]))):
         (tmp_path / name).write_text(said_)
