Read-through: copies of a listed engine by the library's replace, a dead field out

Need: three places spelled out all nine fields of a listed engine to change one or two.

Change: msgspec.structs.replace in members/view.py and drains.py; an attribute of the daemon that nothing read is gone. Behaviour is the same.

--- a/lifthead/daemon/serve.py
+++ b/lifthead/daemon/serve.py
@@ -78,7 +78,6 @@
         self.refusing = self.drained = False
         self.started_at = now()
         self.addresses: dict[str, str] = {}
-        self._lag = 0.0
 
     # Which engines there are.
 
--- a/lifthead/members/drains.py
+++ b/lifthead/members/drains.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+import msgspec
 import parsy
 
 from lifthead.engines.codec import ListedEngine
@@ -80,20 +81,7 @@
         for name, by in sorted(self.asked.items()):
             member = view.members.get(name)
             if member:
-                told = member.told
-                engines.append(
-                    ListedEngine(
-                        name,
-                        told.address,
-                        told.zone,
-                        told.cell,
-                        told.kind,
-                        told.weight,
-                        told.started_at,
-                        "draining",
-                        by,
-                    )
-                )
+                engines.append(msgspec.structs.replace(member.told, readiness="draining", drains_by=by))
         if engines:
             view.tell(SOURCE, engines, False, now)
 
--- a/lifthead/members/view.py
+++ b/lifthead/members/view.py
@@ -8,6 +8,8 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+import msgspec
+
 from lifthead.engines.codec import ListedEngine
 
 CAUTION = {"ready": 0, "draining": 1, "gone": 2}
@@ -128,17 +130,8 @@
         fields = primary.engines[name] if primary and name in primary.engines else named[0]
         started = max(each.started_at for each in named)
         drains = max(each.drains_by for each in named)
-        return ListedEngine(
-            name,
-            fields.address,
-            fields.zone,
-            fields.cell,
-            fields.kind,
-            fields.weight,
-            started,
-            readiness,
-            drains,
-        ), by
+        word = msgspec.structs.replace(fields, started_at=started, readiness=readiness, drains_by=drains)
+        return word, by
 
     def rows(self, now: int) -> list[dict]:
         """For operators: each engine, who said so, and since when; each source and the age of its word."""
@@ -166,14 +159,4 @@
 
 
 def _as(engine: ListedEngine, readiness: str) -> ListedEngine:
-    return ListedEngine(
-        engine.name,
-        engine.address,
-        engine.zone,
-        engine.cell,
-        engine.kind,
-        engine.weight,
-        engine.started_at,
-        readiness,
-        engine.drains_by,
-    )
+    return msgspec.structs.replace(engine, readiness=readiness)
