Decisions hardly grow with the fleet: indexes kept up, draws before filters

Change: engines with something against them are watched, late answers found by a heap; readers asked in the key's order against a bound from the engines that keep the text; zones of more than 16 writers drawn from before they are asked. Small zones choose as before, draw for draw.

--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -10,10 +10,12 @@
 """
 
 import random
+from collections.abc import Callable
 from hashlib import blake2b
+from heapq import heappop, heappush
 
 from lifthead.interface import Demand, Deployment, Effect, Ending, EngineEntry, Host, LoadReport
-from lifthead.state import Engine, Forward, Histogram, Req
+from lifthead.state import Engine, Forward, Histogram, Keepers, Pool, Req
 
 # The split (docs/design.md, "The threshold").
 THRESHOLD = 4096  # prompt tokens; shorter ones are read where they are written
@@ -51,6 +53,12 @@
 LOOK_EVERY = 100_000  # how often silent engines are looked for
 NEVER = 1 << 62
 
+# What keeps the work for a req from growing with the fleet.
+FEW = 16  # writers of a zone that are all asked; of more, so many stand for it where all were to be asked
+DRAWS = 8  # draws from a larger zone before all of it is asked for room
+ORDERS = 512  # keys whose order of readers is remembered
+NOBODY = Pool([])
+
 # Cold engines.
 COLD_PART = 0.8  # of what rule 4 would let all routers together send one
 COLD_LEAST = 2  # forwards a window that all together may send one, however little is known yet
@@ -116,6 +124,15 @@
         self.readers: list[Engine] = []  # ready ones, by name
         self.writers: list[Engine] = []  # ready ones, mixed included, by name
         self.between_cells: dict[str, Split] = {}  # by zone
+        # Kept up as the list and single engines change, so that few engines are looked at for a req.
+        self.readers_in: dict[str, list[Engine]] = {}  # by zone
+        self.writers_in: dict[str, Pool] = {}  # by zone
+        self.cells: dict[tuple[str, int], list[Engine]] = {}  # writers, by zone and cell
+        self.orders: dict[tuple[str, str], list[Engine]] = {}  # readers as a key ranks them, by key and zone
+        self.watched: dict[Engine, None] = {}  # engines with something against them; others are well
+        self.late: list[tuple[int, int, int, Engine]] = []  # a heap: when a forward is past its target
+        self.keepers = Keepers()
+        self.least_memory = min((m for m in deployment.memory.values() if m), default=NEVER)
         self.reqs: dict[int, Req] = {}
         self.pace = {work: Histogram(1000, 14, 400) for work in ("read", "fetch", "read there")}
         self.streams = Histogram(100_000, 10, 400)  # how long answers stream
@@ -154,6 +171,7 @@
         ready = [self.engines[name] for name in sorted(self.engines) if self.engines[name].ready]
         self.readers = [engine for engine in ready if engine.role == "read"]
         self.writers = [engine for engine in ready if engine.role != "read"]
+        self.orders.clear()
         self._even_out()
 
     def _even_out(self) -> None:
@@ -167,9 +185,13 @@
         reads = {zone: min(part, writes.get(zone, 0.0) + OUT * part) for zone, part in reads.items()}
         self.reads_here, self.writes_here = Split(even, reads, READERS_MORE), Split(even, writes, UNEVEN)
         self.between_zones = Split(self.reads_here.taken, writes, UNEVEN)
+        self.readers_in, self.writers_in, self.cells = {}, {}, {}
         for zone in even:
             inside = [[e for e in role if e.zone == zone] for role in (self.readers, self.writers)]
             self.between_cells[zone] = Split(*(self._parts(engines, "cell") for engines in inside), 1.0)
+            self.readers_in[zone], self.writers_in[zone] = inside[0], Pool(inside[1])
+        for writer in self.writers:
+            self.cells.setdefault((writer.zone, writer.cell), []).append(writer)
 
     def _parts(self, engines: list[Engine], place: str) -> dict[str, float]:
         """The part of these engines that each place holds, by weight."""
@@ -280,6 +302,7 @@
         elif ending is Ending.BUSY:
             # Left alone for a while, so that not every req finds out anew. Covers full, throttling engines.
             forward.engine.barred[req.demand.group] = now + BARRED_FOR
+            self.watched[forward.engine] = None
         if forward.reading or ending in (Ending.BUSY, Ending.UNREACHABLE, Ending.NOT_SENT):
             return self._route(req)  # proven not run
         if req.may_have_run is None:
@@ -323,33 +346,56 @@
 
     def _reader(self, req: Req, home: str) -> Engine | None:
         """The reader that the key hashes to: the home zone's come first, each zone's in rendezvous order."""
-        usable = self._usable(self.readers, req)
-        if not usable:
-            return None
-        key = req.demand.beginning or req.demand.session
+        unfit = self._unfit(req, True)
+        demand = req.demand
+
+        def cost(engine: Engine) -> int:
+            return self._backlog(engine) + ANEW * self._unread(engine, req)
+
         # Exception, a hot beginning: a reader is passed over for the next in the key's order when what waits
         # there and what it would have to read of this prompt is clearly more than elsewhere. Also covers a
         # zone that gets too much to read. The unread part weighs more than the wait: readers that pass
         # prompts on for their queues' sake lose each other's texts until nothing is kept anywhere.
-        costs = {e.name: self._backlog(e) + ANEW * self._unread(e, req) for e in usable}
-        bound = HOT_TIMES * min(costs.values()) + HOT_SLACK
-        fit = [engine for engine in usable if costs[engine.name] <= bound]
-        near = [engine for engine in fit if engine.zone == home] or fit
-        return min(near, key=lambda engine: rank(key, engine.name))
+        keep = self.keepers.of(demand.beginning, demand.session)
+        keep = [e for e in keep if e.ready and e.role == "read" and e not in unfit]
+        least, asked_all = min([ANEW * req.prompt, *map(cost, keep)]), False  # none costs less than this
+        for zone in (home, None):
+            for engine in self._order(demand.beginning or demand.session, zone):
+                if engine in unfit:
+                    continue
+                costs = cost(engine)
+                if costs > HOT_TIMES * least + HOT_SLACK and not asked_all:
+                    least, asked_all = min(cost(e) for e in self.readers if e not in unfit), True
+                if costs <= HOT_TIMES * least + HOT_SLACK:
+                    return engine
+        return None
+
+    def _order(self, key: str, zone: str | None) -> list[Engine]:
+        """A zone's readers, or all, in the key's rendezvous order; remembered for the latest keys."""
+        order = self.orders.pop((key, zone or ""), None)
+        if order is None:
+            readers = self.readers if zone is None else self.readers_in.get(zone, ())
+            order = sorted(readers, key=lambda engine: rank(key, engine.name))
+        self.orders[key, zone or ""] = order
+        if len(self.orders) > ORDERS:
+            del self.orders[next(iter(self.orders))]
+        return order
 
     def _stand_in(self, req: Req, home: str) -> Engine | None:
-        able = [
-            engine
-            for engine in self._usable(self.writers, req)
-            if engine.zone == home
-            and self._pressure(engine) <= FULL
-            and (
-                self._unread(engine, req) < THRESHOLD
-                if engine.role == "both"
-                else self.writers_read and not self._crowded(engine, req)
-            )
-        ]
-        drawn = self.chance.sample(able, min(len(able), 2))
+        unfit = self._unfit(req, False)
+
+        def able(engine: Engine) -> bool:
+            if engine in unfit or self._pressure(engine) > FULL:
+                return False
+            if engine.role == "both":
+                return self._unread(engine, req) < THRESHOLD
+            return self.writers_read and not self._crowded(engine, req)
+
+        writers = self.writers_in.get(home, NOBODY).engines
+        found = [e for e in self._some(writers) if able(e)]
+        if len(found) < 2 and len(writers) > FEW:
+            found = [e for e in writers if able(e)]
+        drawn = self.chance.sample(found, min(len(found), 2))
         return min(drawn, key=lambda e: self._wait(e, req, "read there"), default=None)
 
     def _wait(self, engine: Engine, req: Req, work: str) -> float:
@@ -362,11 +408,13 @@
     def _hopeless(self, req: Req, home: str, wait: float) -> bool:
         """Whether the first token can't be expected in time: writers let go of memory as their streams end,
         a backlog goes at the usual pace. What would come too late is waste, and makes others late."""
-        writers = [engine for engine in self._usable(self.writers, req) if engine.zone == home]
-        if writers:
-            beyond = sum(map(self._pressure, writers)) / len(writers) - 1
-            wait += max(beyond, 0) * self.streams.quantile(0.5)
-        return wait > HOPELESS * req.wanted_in * (OVER_SHARE if req.over_share else 1)
+        most = HOPELESS * req.wanted_in * (OVER_SHARE if req.over_share else 1)
+        if wait > most:
+            return True
+        unfit, writers = self._unfit(req, False), self.writers_in.get(home, NOBODY).engines
+        writers = [e for e in self._some(writers) if e not in unfit]
+        beyond = sum(map(self._pressure, writers)) / (len(writers) or 1) - 1
+        return wait + max(beyond, 0) * self.streams.quantile(0.5) > most
 
     def _over_share(self, tenant: str, now: int) -> bool:
         """Counts a req of this tenant against its share, and what was left unused lately."""
@@ -380,44 +428,84 @@
 
     def _draw(self, req: Req, zone: str, cell: int | None, reads: bool) -> Engine | None:
         """One writer of the cell and one of the zone; the cell's is kept unless it clearly carries more."""
-        usable = self._usable(self.writers, req)
-        if reads and not self.writers_read:
-            usable = [engine for engine in usable if engine.role == "both"]
+        unfit, pool = self._unfit(req, False), self.writers_in.get(zone, NOBODY)
+        may_read = not reads or self.writers_read
+
         # Exception, a full writer: it leaves the draw while others in the zone, or else anywhere, have room.
         # Covers what own tokens don't show: others' reqs, few slots, slow streams.
-        near = [e for e in usable if e.zone == zone]
-        in_zone = [e for e in near if self._pressure(e) < 1]
-        in_zone = in_zone or [e for e in usable if self._pressure(e) < 1] or near or usable
-        if not in_zone:
+        def able(engine: Engine) -> bool:
+            return engine not in unfit and (may_read or engine.role == "both")
+
+        def room(engine: Engine) -> bool:
+            return able(engine) and self._pressure(engine) < 1
+
+        cells, fit = self.cells, room
+        other = self._pick(pool, fit) if len(pool.engines) > FEW else None
+        if other is None:  # a small zone, or few of it have room: all are asked, then all anywhere
+            usable = [engine for engine in self.writers if able(engine)]
+            near = [engine for engine in usable if engine.zone == zone]
+            found = [e for e in near if room(e)] or [e for e in usable if room(e)] or near or usable
+            pool, cells, fit = Pool(found), {}, able
+            other = self._pick(pool, fit)
+        if other is None:
             return None
-        by_weight = [engine.weight for engine in in_zone]
-        other = self.chance.choices(in_zone, by_weight)[0]
         if zone in self.between_cells:
             cell = self.between_cells[zone].place(cell, self.chance.random())
-        in_cell = [engine for engine in in_zone if engine.cell == cell]
-        kept = self.chance.choice(in_cell) if in_cell else self.chance.choices(in_zone, by_weight)[0]
+        in_cell = [e for e in cells.get((zone, cell), pool.engines) if e.cell == cell and fit(e)]
+        kept = self.chance.choice(in_cell) if in_cell else self._pick(pool, fit) or other
         return other if self._load(kept) > HEAVIER * self._load(other) + HEAVIER_BY else kept
 
-    def _usable(self, engines: list[Engine], req: Req) -> list[Engine]:
-        """Engines that may get this req now: allowed by the rules, not tried yet, well so far as is told."""
+    def _some(self, engines: list[Engine]) -> list[Engine]:
+        return engines if len(engines) <= FEW else self.chance.sample(engines, FEW)
+
+    def _pick(self, pool: Pool, fit: Callable[[Engine], bool]) -> Engine | None:
+        """One that fits, drawn by weight; None after a few draws of others."""
+        for _ in range(DRAWS if pool.engines else 0):
+            drawn = self.chance.choices(pool.engines, cum_weights=pool.sums)[0]
+            if fit(drawn):
+                return drawn
+        return None
+
+    def _unfit(self, req: Req, reading: bool) -> set[Engine]:
+        """Readers or writers that may not get this req now: by the rules, tried, or not well so far as is
+        told. Engines that nobody watches are well, so they are not asked one by one."""
         now = self.host.now()
-        # Only one with an unanswered forward or something against it can look bad: few of a large fleet.
-        doubts = [e for e in engines if e.out or e.strikes or e.failures > 1]
-        down = {e.name for e in doubts if e.failures > 1}
-        ill = {e.name for e in doubts if e.failures > 1 or e.strikes or self._silent(e, now)}
+        engines = self.readers if reading else self.writers
+        watched = [e for e in self._watch(now) if e.ready and (e.role == "read") == reading]
+        tried = [self.engines[name] for name in req.tried if name in self.engines]
+        unfit = {e for e in tried if e.ready and (e.role == "read") == reading}
+        if req.prompt > self.least_memory:
+            unfit.update(e for e in engines if e.memory and req.prompt > e.memory)
+        if req.may_have_run is not None:
+            unfit.update(e for e in engines if not self._in_group(e, req, now))
+        down = {e for e in watched if e.failures > 1}
+        ill = {e for e in watched if e.failures > 1 or e.strikes or self._silent(e, now)}
         # Most of a role looking bad says nothing of single engines.
         trust_all = (len(engines) - len(ill)) * 2 < len(engines) - len(down)
-        anywhere, group = req.may_have_run is None, req.demand.group
-        allowed = [
-            e
-            for e in engines
-            if e.name not in req.tried
-            and (not e.memory or req.prompt <= e.memory)
-            and (anywhere or self._in_group(e, req, now))
-            and (now >= e.cold_until or self._cold_room(e, now))
-            and (e.name not in ill or self._trial(e, req, now) or (trust_all and e.name not in down))
-        ]
-        return [e for e in allowed if not e.barred or now >= e.barred.get(group, 0)] or allowed
+        for e in watched:
+            if e in unfit:
+                continue
+            cold = now < e.cold_until and not self._cold_room(e, now)
+            if cold or (e in ill and not (self._trial(e, req, now) or (trust_all and e not in down))):
+                unfit.add(e)
+        barred = {e for e in watched if e not in unfit and now < e.barred.get(req.demand.group, 0)}
+        return unfit | barred if len(unfit) + len(barred) < len(engines) else unfit
+
+    def _watch(self, now: int) -> list[Engine]:
+        """Engines with something against them: strikes, lost connections, cold, barred, or a late answer."""
+        while self.late and self.late[0][0] < now:
+            _, req_id, number, engine = heappop(self.late)
+            if (req_id, number) in engine.out:
+                self.watched[engine] = None
+        for engine in list(self.watched):
+            late = self._awaited(engine)
+            if not (
+                engine.strikes or engine.failures > 1 or now < engine.cold_until
+                or (late and late.sent_at + late.target < now)
+                or any(now < until for until in engine.barred.values())
+            ):  # fmt: skip
+                del self.watched[engine]
+        return list(self.watched)
 
     def _in_group(self, engine: Engine, req: Req, now: int) -> bool:
         """Rule 2 for keyed reqs: once one may have run, only engines that drop its repeat, while they do."""
@@ -471,16 +559,15 @@
     def _keeps(self, engine: Engine, req: Req, unread: int, found: int) -> None:
         """Notes what an engine has read. One that found much less than expected has lost its texts (a flush,
         an untold restart, a memory too small): nothing counts as kept until it is read there again."""
-        kept = engine.kept
+        kept, demand = engine.kept, req.demand
         if found < (req.prompt - unread) / 2:
-            kept.clear()
-        demand = req.demand
+            for key in list(kept):
+                self.keepers.drop(engine, key)
         for key, length in ((demand.beginning, demand.beginning_len), (demand.session, req.prompt)):
-            kept.pop(key, None)
             if key:
-                kept[key] = length
+                self.keepers.put(engine, key, length)
         while len(kept) > KEPT_KEYS:
-            del kept[next(iter(kept))]
+            self.keepers.drop(engine, next(iter(kept)))
 
     def _crowded(self, engine: Engine, req: Req) -> bool:
         report = self._word(engine)
@@ -505,10 +592,11 @@
         """What a silent engine holds is called off and tried elsewhere; what must not run twice stays there
         and hopes. While most of a role are silent, work would only be thrown from one to the next."""
         now = self.host.now()
-        silent = [e for e in self.readers + self.writers if e.out and self._silent(e, now)]
-        for engine in silent:
+        silent = [e for e in self._watch(now) if e.ready and self._silent(e, now)]
+        for engine in sorted(silent, key=lambda e: (e.role != "read", e.name)):
             role = self.readers if engine.role == "read" else self.writers
-            if not self.may_cancel or sum(other in silent for other in role) * 2 > len(role):
+            peers = sum((e.role == "read") == (engine.role == "read") for e in silent)
+            if not self.may_cancel or peers * 2 > len(role):
                 continue
             self._strike(engine, now)
             engine.heard_at = now
@@ -535,6 +623,7 @@
     def _strike(self, engine: Engine, now: int) -> None:
         engine.trial_at = now + min(TRIAL_AFTER << engine.strikes, TRIAL_LIMIT)
         engine.strikes += 1
+        self.watched[engine] = None
 
     def _first_answer(self, forward: Forward, took: int) -> None:
         """The engine answered: a prompt is read or a stream has begun."""
@@ -553,6 +642,7 @@
         if until > engine.cold_until:
             engine.cold_until, engine.cold_at = until, self.host.now()
             engine.cold_credit = self.chance.random()
+            self.watched[engine] = None
 
     def _cold_room(self, engine: Engine, now: int) -> bool:
         """Rule 4 without word from the other routers: each sends a cold engine at most a fixed part of what a
@@ -602,6 +692,7 @@
             self.reads.add(unread)
         engine.unread += unread
         engine.out[req.demand.id, forward.number] = forward
+        heappush(self.late, (now + req.target, req.demand.id, forward.number, engine))
         if now < engine.cold_until:
             engine.cold_credit -= 1
         req.out = forward
@@ -609,7 +700,9 @@
         self.host.forward(req.demand.id, engine.name, req.due_at)
         if self.probes:
             # Some engines of the zone are asked for later reqs: probes grow with reqs, not routers x engines.
-            near = [e for e in self.readers + self.writers if e.zone == engine.zone and e != engine]
+            near = self.readers_in.get(engine.zone, []) + self.writers_in.get(engine.zone, NOBODY).engines
+            if engine in near:
+                near.remove(engine)
             for asked in (engine, *self.chance.sample(near, min(len(near), PROBES))):
                 if now - asked.probed_at >= PROBE_EVERY:
                     asked.probed_at = now
--- a/lifthead/state.py
+++ b/lifthead/state.py
@@ -1,6 +1,7 @@
 """Records that the decision module keeps, and the mechanics of its histograms. Nothing here decides."""
 
 from dataclasses import dataclass, field
+from itertools import accumulate
 
 from lifthead.interface import Demand, Effect, EndpointGroup, LoadReport
 
@@ -89,6 +90,37 @@
     trial_at: int = 0  # while suspect: when the next trial may go
 
 
+class Pool:
+    """Engines that are drawn from by weight, with the sums that make a draw cheap however many there are."""
+
+    def __init__(self, engines: list[Engine]) -> None:
+        self.engines = engines
+        self.sums = list(accumulate(engine.weight for engine in engines))
+
+
+class Keepers:
+    """Which engines keep a text, by its key: each engine's `kept` the other way round."""
+
+    def __init__(self) -> None:
+        self._of: dict[str, dict[Engine, None]] = {}
+
+    def of(self, *keys: str) -> list[Engine]:
+        """Engines that keep one of these, each once."""
+        return list({engine: None for key in keys if key for engine in self._of.get(key, ())})
+
+    def put(self, engine: Engine, key: str, length: int) -> None:
+        """The engine has read so many tokens of it, as its latest."""
+        engine.kept.pop(key, None)
+        engine.kept[key] = length
+        self._of.setdefault(key, {})[engine] = None
+
+    def drop(self, engine: Engine, key: str) -> None:
+        del engine.kept[key]
+        self._of[key].pop(engine, None)
+        if not self._of[key]:
+            del self._of[key]
+
+
 @dataclass(slots=True, eq=False)
 class Req:
     """A req that this router has taken and whose forwards are not all over."""
