Weight told to balancers goes by lag, room and push-backs, with hysteresis

Need: up N% followed full hands alone and moment by moment; a hundred routers would swing together. Change: a pure decision with a fall at once, a slow rise at drawn times; answers of the last seconds are counted and told to operators.

--- a/lifthead/daemon/gauges.py
+++ b/lifthead/daemon/gauges.py
@@ -30,6 +30,7 @@
         self.unbilled = Counter("lifthead_entries_lost", "Ledger entries that could not be written", **kind)
         self.lag = Gauge("lifthead_loop_lag_seconds", "Longest stall of the loop in the last second", **kind)
         self.in_hand = Gauge("lifthead_reqs_in_hand", "Reqs in hand", **kind)
+        self.weight = Gauge("lifthead_weight_percent", "Traffic wanted from balancers", **kind)
         self.list_age = Gauge("lifthead_list_age_seconds", "Since the list of engines last came", **kind)
 
     def taken(self, group: str) -> None:
--- a/lifthead/daemon/host.py
+++ b/lifthead/daemon/host.py
@@ -23,6 +23,7 @@
 from lifthead.engines import codec
 from lifthead.engines.codec import ENDINGS, ListNews, Sight, StrangeError
 from lifthead.engines.link import Connection, Link
+from lifthead.fleet.weight import Lately
 from lifthead.http1 import HttpError
 from lifthead.interface import Demand, Deployment, Effect, Ending, EngineEntry, LoadReport
 from lifthead.resume.notice import Notice
@@ -149,6 +150,7 @@
         self._streams: dict[int, InHand] = {}  # whose stream has begun and may break, by serial
         self.notice = Notice(int(limits.stalled_for))
         self.rescue = Rescue()
+        self.lately = Lately()
         self._groups = deployment.groups
         self.empty = asyncio.Event()
         self.empty.set()
@@ -692,6 +694,11 @@
         hand.ended = ended
         hand.ended_at = now()
         self.gauges.ended(hand.asked.group, ended)
+        group = self._groups[hand.asked.group]
+        target = group.target + group.target_per_1000 * hand.asked.prompt // 1000
+        late = hand.asked.streamed and hand.first_at - hand.taken_at > target
+        if ended != "left":
+            self.lately.add(now(), ended == "pushed back", ended != "done" or late)
         return True
 
     def _forget(self, hand: InHand) -> None:
--- a/lifthead/daemon/serve.py
+++ b/lifthead/daemon/serve.py
@@ -4,6 +4,7 @@
 import functools
 import gc
 import os
+import random
 import signal
 import sys
 import time
@@ -26,6 +27,7 @@
 from lifthead.engines.codec import ListedEngine, ListNews
 from lifthead.engines.listing import follow
 from lifthead.fleet import admin, health
+from lifthead.fleet.weight import Weight, wish
 from lifthead.http1 import Message
 from lifthead.ledger.disk import Directory
 from lifthead.ledger.keeper import Keeper, open_journal
@@ -67,6 +69,7 @@
             bill.take_up(list(budgets))
         self.biller = bill
         self.view = View()
+        self.weight = Weight(random.Random(seed))
         self.roster: Roster | None = None
         self.drains = Drains(start.roles)
         self._drains_file = run_dir / f"drains-{name}.json"
@@ -128,7 +131,7 @@
             writers=self.host.ready_writers,
             stopping=self.stopping.is_set(),
             drained=self.drained,
-            full=len(self.host.in_hand) / self.fleet.limits.in_hand,
+            weight=self.weight.percent,
         )
 
     async def answer(self, message: Message, reply: Reply) -> None:
@@ -204,6 +207,7 @@
     def state(self) -> dict[str, Any]:
         condition = self.condition()
         age = (now() - self.host.listed_at) / 1e6 if self.host.listed_at else None
+        ended, pushed_back, missed = self.host.lately.counts(now())
         return {
             "name": self.spec.name,
             "zone": self.spec.zone,
@@ -211,6 +215,7 @@
             "state": condition.word,
             "why": condition.why,
             "reqs": len(self.host.in_hand),
+            "lately": {"ended": ended, "pushed_back": pushed_back, "missed": missed},
             "connections": self.clients.connections,
             "engines": sum(peer.readiness == "ready" for peer in self.host.peers.values()),
             "list_age_s": age,
@@ -284,12 +289,19 @@
     async def measure(self) -> None:
         """The loop's own lag, and gauges that are read from here."""
         loop = asyncio.get_running_loop()
-        worst, turn = 0.0, 0
+        worst, lately, turn = 0.0, 0.0, 0
         while True:
             then = loop.time()
             await asyncio.sleep(LAG_EVERY)
-            worst, turn = max(worst, loop.time() - then - LAG_EVERY), turn + 1
+            lag = loop.time() - then - LAG_EVERY
+            worst, lately, turn = max(worst, lag), max(lag, lately * 0.9), turn + 1
             self.gauges.in_hand.set(len(self.host.in_hand))
+            if turn % 5 == 0:
+                full = len(self.host.in_hand) / self.fleet.limits.in_hand
+                ended, pushed_back, _ = self.host.lately.counts(now())
+                self.gauges.weight.set(
+                    self.weight.turn(now(), wish(full, int(lately * 1e6), ended, pushed_back))
+                )
             if turn % 20 == 0:
                 self.gauges.lag.set(worst)
                 self.gauges.list_age.set((now() - self.host.listed_at) / 1e6 if self.host.listed_at else -1)
--- a/lifthead/fleet/health.py
+++ b/lifthead/fleet/health.py
@@ -17,7 +17,7 @@
     writers: int  # ready engines that write
     stopping: bool
     drained: bool  # an operator asked it to take no more
-    full: float  # reqs in hand as a share of what it may hold
+    weight: int = 100  # percent of its usual traffic that it wants (weight.py)
 
     @property
     def ready(self) -> bool:
@@ -25,12 +25,12 @@
 
     @property
     def word(self) -> str:
-        """Agent-check's: `ready`, `up N%` while it fills, `drain`, `down`."""
+        """Agent-check's: `ready`, `up N%` while it wants less, `drain`, `down`."""
         if self.stopping or self.drained:
             return "drain"
         if not self.listed or not self.writers:
             return "down"
-        return "ready" if self.full < 0.5 else f"up {max(round(200 * (1 - self.full)), 1)}%"
+        return "ready" if self.weight == 100 else f"up {self.weight}%"
 
     @property
     def why(self) -> str:
