Rolling restarts of engines and routers: lifthead roll

Need: a fleet restarted by hand loses streams, runs cold engines over and can't be gone on with. The last seconds' answers are told.

--- a/lifthead/cli.py
+++ b/lifthead/cli.py
@@ -26,6 +26,7 @@
 RunDir = Annotated[Path, typer.Option("--run", help="Run directory: admin sockets and records.")]
 AsJson = Annotated[bool, typer.Option("--json", help="One JSON document, for scripts.")]
 DEFAULT_RUN = Path(".lifthead")
+STAGE = "stage.ctl"  # admin socket of `up`, beside the routers'
 
 
 def main() -> None:
@@ -288,6 +289,87 @@
         raise typer.Exit(1)
 
 
+@app.command()
+def roll(
+    selector: Annotated[
+        str, typer.Argument(help="Engines: names, zone:A, cell:3, kind:K, with commas; `-`: none.")
+    ] = "",
+    restart: Annotated[str, typer.Option(help="Command that restarts an engine; {name} is its name.")] = "",
+    routers: Annotated[str, typer.Option(help="Routers after the engines: names with commas, or all.")] = "",
+    restart_router: Annotated[str, typer.Option(help="Command that restarts a router.")] = "",
+    floor: Annotated[float, typer.Option(min=0, max=1, help="Part of each role that serves on.")] = 0.7,
+    at_once: Annotated[int, typer.Option(min=1, help="Engines away at a time, at most.")] = 1,
+    limit: Annotated[str, typer.Option(help="Streams that would outlive this are moved, such as 30s.")] = "",
+    pause_over: Annotated[float, typer.Option(help="Share of missed answers that pauses the roll.")] = 0.1,
+    back_within: Annotated[str, typer.Option(help="Time for an engine to come back.")] = "60s",
+    resume: Annotated[bool, typer.Option("--resume", help="Go on with a roll that was begun.")] = False,
+    forget: Annotated[bool, typer.Option("--forget", help="Drop a begun roll; drains stay.")] = False,
+    run: RunDir = DEFAULT_RUN,
+    as_json: AsJson = False,
+) -> None:
+    """Restart engines and routers in turn, drained before and cold after; exit 1 if it could not go on."""
+    from lifthead.deployment.durations import micros
+    from lifthead.fleet import rolling
+    from lifthead.members.drains import SelectorError, named
+    from lifthead.members.roll import Plan, refusal
+
+    async def play(place: rolling.Place) -> str:
+        kept = place.read()
+        if forget:
+            place.forget()
+            return ""
+        if resume != (kept is not None):
+            raise rolling.BusyError(
+                f"{place.path}: a roll is not over: --resume or --forget" if kept else "no roll to resume"
+            )
+        if kept:
+            carried = rolling.Rolling(run, place, kept, say)
+        else:
+            carried = rolling.Rolling(run, place, rolling.Kept(Plan([]), restart, restart_router), say)
+            facts = await carried.facts()
+            engines = [] if selector == "-" else named(selector, carried.places)
+            chosen = sorted(facts.routers) if routers == "all" else [*filter(None, routers.split(","))]
+            if (engines and not restart) or (chosen and not restart_router):
+                raise ValueError("expected --restart for engines and --restart-router for routers")
+            plan = Plan(
+                engines, chosen, floor, at_once, int(micros(limit)) if limit else 0, pause_over,
+                int(micros(back_within)),
+            )  # fmt: skip
+            if why := refusal(plan, facts):
+                raise ValueError(why)
+            carried = rolling.Rolling(run, place, rolling.Kept(plan, restart, restart_router), say)
+        return await carried.run()
+
+    def say(text: str) -> None:
+        _json({"said": text}) if as_json else typer.echo(text)
+
+    try:
+        run.mkdir(parents=True, exist_ok=True)
+        with rolling.Place(run) as place:
+            failed = asyncio.run(play(place))
+    except (rolling.BusyError, SelectorError, ValueError, OSError) as problem:
+        typer.echo(str(problem), err=True)
+        raise typer.Exit(2) from None
+    if failed:
+        typer.echo(f"stopped: {failed}; mend it, then --resume", err=True)
+        raise typer.Exit(1)
+
+
+@app.command()
+def restart(name: str, run: RunDir = DEFAULT_RUN) -> None:
+    """Restart an engine or router of `lifthead up`; returns once it is up."""
+    from lifthead.fleet import admin
+
+    try:
+        said = asyncio.run(admin.ask(run / STAGE, {"ask": "restart", "name": name}, 90.0))
+    except (OSError, TimeoutError) as problem:
+        typer.echo(f"{run / STAGE}: no answer: {problem!r}", err=True)
+        raise typer.Exit(1) from None
+    if why := said.get("error"):
+        typer.echo(why, err=True)
+        raise typer.Exit(1)
+
+
 @app.command()
 def rollback(
     to: Annotated[int, typer.Option(help="Generation; left out: the one before.")] = 0,
@@ -336,8 +418,10 @@
 @app.command()
 def up(file: Path, run: RunDir = DEFAULT_RUN, seed: int = 1, as_json: AsJson = False) -> None:
     """Start stand-in engines, a pushed list and the routers of a script; run until SIGTERM."""
+    import functools
     import signal
 
+    from lifthead.fleet import admin
     from lifthead.standins.stage import Stage
 
     async def hold() -> None:
@@ -348,6 +432,8 @@
             asyncio.get_running_loop().add_signal_handler(number, over.set)
         try:
             await stage.start()
+            handler = functools.partial(admin.serve, {"restart": stage.restart})
+            desk = await asyncio.start_unix_server(handler, str(run / STAGE))
             line = stage.line()
             (run / "up.json").write_bytes(msgspec.json.encode(line))
             if as_json:
@@ -356,6 +442,8 @@
                 _table(line["routers"], "routers")
                 _table(line["engines"], "engines")
             await over.wait()
+            desk.close()
+            (run / STAGE).unlink(missing_ok=True)
             await stage.close()
         finally:
             await stage.abandon()
--- a/lifthead/daemon/host.py
+++ b/lifthead/daemon/host.py
@@ -744,9 +744,20 @@
 
     # What operators may see.
 
+    def at_engines(self) -> dict[str, int]:
+        """Forwards that are out, and states that wait to be fetched, by engine."""
+        found: dict[str, int] = {}
+        for hand in self.in_hand.values():
+            places = {hand.out.engine} if hand.out else set()
+            if hand.handle is not None:
+                places.add(hand.held_at)
+            for name in places:
+                found[name] = found.get(name, 0) + 1
+        return found
+
     def view(self) -> list[dict[str, Any]]:
         """Each engine as this router sees it."""
-        at, rows = now(), []
+        at, rows, out = now(), [], self.at_engines()
         for name in sorted(self.peers):
             peer, engine = self.peers[name], self.router.engines.get(name)
             if engine is None:
@@ -757,13 +768,16 @@
                     "address": peer.link.address,
                     "zone": engine.zone,
                     "cell": engine.cell,
+                    "kind": peer.kind,
                     "role": engine.role,
                     "readiness": peer.readiness,
                     "cold": at < engine.cold_until,
                     "suspect": engine.strikes > 0 or engine.failures > 1,
                     "tokens": engine.tokens,
                     "unread": engine.unread,
+                    "weight": engine.weight,
                     "waiting": len(engine.out),
+                    "out": out.get(name, 0),
                     "report_age_ms": (at - engine.report_at) // 1000 if engine.report else None,
                 }
             )
--- a/lifthead/daemon/serve.py
+++ b/lifthead/daemon/serve.py
@@ -33,7 +33,7 @@
 from lifthead.ledger.keeper import Keeper, open_journal
 from lifthead.ledger.quota import Budget, Quota
 from lifthead.members import watch
-from lifthead.members.drains import Drains, SelectorError, chosen
+from lifthead.members.drains import Drains, SelectorError, Word, chosen
 from lifthead.members.roster import Outcome, Roster
 from lifthead.members.store import Store
 from lifthead.members.view import View
@@ -72,9 +72,9 @@
         self.weight = Weight(random.Random(seed))
         self.roster: Roster | None = None
         self.drains = Drains(start.roles)
-        self._drains_file = run_dir / f"drains-{name}.json"
+        self._drains_file = run_dir / f"operator-{name}.json"
         if self._drains_file.exists():  # what an operator drained stays so over a restart
-            self.drains.asked = msgspec.json.decode(self._drains_file.read_bytes(), type=dict[str, int])
+            self.drains.word = msgspec.json.decode(self._drains_file.read_bytes(), type=Word)
         self.host = Host(name, start, fleet.limits, tasks, self.gauges, log, grace, resumes, bill, decide)
         self.clients = Clients(fleet.limits, self.answer)
         self.stopping = asyncio.Event()
@@ -116,7 +116,12 @@
 
     def tell_changes(self) -> None:
         changes = self.view.changes(now())
-        if any(engine.name in self.drains.asked and engine.readiness == "ready" for engine in changes):
+        said = self.drains.word
+        if any(
+            (engine.name in said.asked and engine.readiness == "ready")
+            or engine.started_at < said.started.get(engine.name, 0)
+            for engine in changes
+        ):
             self.drains.tell(
                 self.view, now()
             )  # named after the drain was asked: held before the module hears of it
@@ -250,24 +255,20 @@
                 told = [member.told for member in self.view.members.values()]
                 names = chosen(str(question["selector"]), told)
                 if question.get("undo"):
-                    self.drains.undo(names, self.view)
+                    self.drains.undo(names, self.view, now(), int(question.get("started_at", 0)))
                 elif (why := self.drains.refusal(names, self.view)) and not question.get("force"):
                     return {"taken": False, "why": why, "engines": []}
                 else:
                     limit = int(question.get("limit", 0))
                     self.drains.drain(names, wall + limit if limit else 0, self.view, now())
                 part = self._drains_file.with_suffix(".part")
-                part.write_bytes(msgspec.json.encode(self.drains.asked))
+                part.write_bytes(msgspec.json.encode(self.drains.word))
                 part.replace(self._drains_file)
                 self.log.info("drain engines", engines=names, undo=bool(question.get("undo")))
                 self.tell_changes()
         except (SelectorError, OSError) as problem:
             return {"taken": False, "why": str(problem), "engines": []}
-        out: dict[str, int] = {}
-        for hand in self.host.in_hand.values():
-            if hand.out:
-                out[hand.out.engine] = out.get(hand.out.engine, 0) + 1
-        return {"taken": True, "why": "", "engines": self.drains.progress(out, wall)}
+        return {"taken": True, "why": "", "engines": self.drains.progress(self.host.at_engines(), wall)}
 
     def _outcome(self, outcome: Outcome) -> dict[str, Any]:
         if outcome.taken:
--- a/lifthead/deployment/fleet.py
+++ b/lifthead/deployment/fleet.py
@@ -193,6 +193,8 @@
     "router_kill",
     "router_roll",
     "router_stop",
+    "roll",
+    "naive_roll",
     "burst",
     "flood",
     "hot_beginning",
--- a/lifthead/members/drains.py
+++ b/lifthead/members/drains.py
@@ -25,33 +25,40 @@
 
 def chosen(selector: str, engines: list[ListedEngine]) -> list[str]:
     """Names of the engines that `zone:a`, `cell:3`, `kind:writer` or names, with commas between, choose."""
+    marks = {e.name: {("zone", e.zone), ("cell", str(e.cell)), ("kind", e.kind)} for e in engines}
+    return named(selector, marks)
+
+
+def named(selector: str, marks: dict[str, set[tuple[str, str]]]) -> list[str]:
+    """The same, of engines whose zone, cell and kind are told by name."""
     try:
         wanted = _selector.parse(selector.strip())
     except parsy.ParseError as problem:
         said = f"{selector!r}: expected names, zone:NAME, cell:N or kind:NAME with commas between"
         raise SelectorError(f"{said}, at character {problem.index}") from None
-    found = []
-    for engine in engines:
-        marks = {
-            ("name", engine.name),
-            ("zone", engine.zone),
-            ("cell", str(engine.cell)),
-            ("kind", engine.kind),
-        }
-        if marks & set(wanted):
-            found.append(engine.name)
+    found = [name for name, own in marks.items() if (own | {("name", name)}) & set(wanted)]
     if not found:
-        raise SelectorError(f"{selector!r} chooses no engine of {len(engines)}")
+        raise SelectorError(f"{selector!r} chooses no engine of {len(marks)}")
     return sorted(found)
 
 
+class Word(msgspec.Struct):
+    """What an operator has said, by engine; kept over a restart."""
+
+    asked: dict[str, int] = {}  # drained: until when its streams may run (wall clock, 0: to their end)
+    started: dict[str, int] = {}  # brought back by a roll: since when (wall clock), for it is cold
+
+
 @dataclass(slots=True)
 class Drains:
-    """What an operator has asked to drain, by engine: until when its streams may run (wall clock, 0: to
-    their end)."""
+    """The operator's word as a source of the view."""
 
     roles: dict[str, str]  # engine kind -> role
-    asked: dict[str, int] = field(default_factory=dict)
+    word: Word = field(default_factory=Word)
+
+    @property
+    def asked(self) -> dict[str, int]:
+        return self.word.asked
 
     def refusal(self, names: list[str], view: View) -> str:
         """Why these may not be drained without insisting; "" if they may."""
@@ -64,24 +71,35 @@
 
     def drain(self, names: list[str], by: int, view: View, now: int) -> None:
         """These drain from here on, whatever the other sources say."""
-        self.asked |= dict.fromkeys(names, by)
+        for name in names:
+            self.asked[name] = by
+            self.word.started.pop(name, None)
         self.tell(view, now)
 
-    def undo(self, names: list[str], view: View) -> list[str]:
-        """What the other sources say of these holds again; the ones that were being drained."""
+    def undo(self, names: list[str], view: View, now: int, started_at: int = 0) -> list[str]:
+        """What the other sources say of these holds again, but that they were started then, if that is told;
+        the ones that were being drained."""
         held = [name for name in names if name in self.asked]
         for name in held:
             del self.asked[name]
+            if started_at:
+                self.word.started[name] = started_at
         view.withdraw(SOURCE, held)
+        self.tell(view, now)
         return held
 
     def tell(self, view: View, now: int) -> None:
         """Has the view know all that is asked: after a drain, and after a restart."""
         engines = []
-        for name, by in sorted(self.asked.items()):
-            member = view.members.get(name)
-            if member:
+        for name in sorted({*self.asked, *self.word.started}):
+            member, by = view.members.get(name), self.asked.get(name)
+            if member and by is not None:
                 engines.append(msgspec.structs.replace(member.told, readiness="draining", drains_by=by))
+            elif member and member.told.readiness != "gone":
+                at = max(self.word.started[name], member.told.started_at)
+                engines.append(
+                    msgspec.structs.replace(member.told, readiness="ready", drains_by=0, started_at=at)
+                )
         if engines:
             view.tell(SOURCE, engines, False, now)
 
--- a/lifthead/standins/day.py
+++ b/lifthead/standins/day.py
@@ -7,6 +7,8 @@
 from typing import Any
 
 from lifthead.deployment.fleet import Fleet, Trouble
+from lifthead.fleet.rolling import Kept, Place, Rolling
+from lifthead.members.roll import Plan, Step
 from lifthead.standins import verify
 from lifthead.standins.crowd import Clients, Trend
 from lifthead.standins.record import Record, now
@@ -100,6 +102,12 @@
             await self.stage.say("ready", *engines)
         elif trouble.what == "late_list":
             self.stage.list.late = trouble.lasts / 1e6
+        elif trouble.what == "roll":
+            await self._roll(engines, trouble)
+        elif trouble.what == "naive_roll":
+            for name in (*engines, *trouble.routers):
+                await self.stage.restart({"name": name})
+                self.stage.record.put("rolled", name=name)
         elif trouble.what.startswith("router"):
             await self._routers(trouble)
         else:
@@ -139,6 +147,22 @@
         await self.stage.start_engine(name, cold=False)
         down.discard(name)
 
+    async def _roll(self, engines: list[str], trouble: Trouble) -> None:
+        """What `lifthead roll` does; `part` is the floor."""
+
+        async def restart(step: Step) -> str:
+            return (await self.stage.restart({"name": step.name})).get("error", "")
+
+        def say(text: str) -> None:
+            self.stage.record.put("roll", said=text)
+
+        plan = Plan(
+            engines, trouble.routers, floor=trouble.part, limit=int(trouble.limit), pause_over=trouble.times
+        )
+        with Place(self.out) as place:
+            failed = await Rolling(self.out, place, Kept(plan, "", ""), say, restart).run()
+        self.stage.record.put("roll", said=failed or "over")
+
     async def _routers(self, trouble: Trouble) -> None:
         how = signal.SIGTERM if trouble.what == "router_stop" else signal.SIGKILL
         for name in trouble.routers or list(self.fleet.routers):
--- a/lifthead/standins/stage.py
+++ b/lifthead/standins/stage.py
@@ -160,6 +160,15 @@
         self.record.put("exited", name=name, code=code)
         return code
 
+    async def restart(self, question: dict[str, Any]) -> dict[str, Any]:
+        """Stops an engine or a router and starts it again, an engine cold; what it had is lost."""
+        name = str(question.get("name"))
+        if name not in self._processes:
+            return {"error": f"expected one of {sorted(self._processes)}, got {name!r}"}
+        await self.end(name, signal.SIGTERM)
+        await (self.start_engine(name, cold=True) if name in self.fleet.engines else self.start_router(name))
+        return {}
+
     async def close(self) -> dict[str, int]:
         """Stops the routers, then the engines; exit codes by name."""
         codes = {}
