Routers are replaced without a refused connection, and come back with their last list

Need: a new router process meant refused connections, and one that came back without a list served nobody. Change: sockets are handed over on a Unix socket once the new process is ready; the pushed list is kept on disk and gone by after a second without one, a pure decision. Measured: replaced under 100 reqs a second with long streams: no connection refused, every stream whole; two of three routers restarted with the list gone and one listed writer dead: all answered after.

--- a/lifthead/cli.py
+++ b/lifthead/cli.py
@@ -103,6 +103,9 @@
     ] = "",
     run: RunDir = DEFAULT_RUN,
     log: Annotated[str, typer.Option(help="File for the log; else standard error.")] = "",
+    take_over: Annotated[
+        bool, typer.Option("--take-over", help="Take a running router's sockets; it ends its streams.")
+    ] = False,
     seed: Annotated[int, typer.Option(help="Seed of the decisions' chance; 0: drawn.")] = 0,
 ) -> None:
     """Run one router until SIGTERM; then answer all it holds and exit 0."""
@@ -118,7 +121,9 @@
     watched = Path(engines_file) if engines_file else None
     problems: list[str] = []
     try:
-        asyncio.run(daemon.serve(fleet, name, engine_list, run, drawn, out, engine_file=watched))
+        asyncio.run(daemon.serve(
+            fleet, name, engine_list, run, drawn, out, engine_file=watched, take_over=take_over
+        ))  # fmt: skip
     except* (LockedError, OSError) as group:  # a port or a ledger that another process has
         problems = [str(problem) for problem in group.exceptions]
     if problems:
--- a/lifthead/daemon/serve.py
+++ b/lifthead/daemon/serve.py
@@ -1,6 +1,7 @@
 """Starts one router process, and stops it without losing a req that it has taken."""
 
 import asyncio
+import contextlib
 import functools
 import gc
 import os
@@ -21,6 +22,7 @@
 from lifthead.control import Router
 from lifthead.daemon.biller import Biller
 from lifthead.daemon.gauges import Gauges
+from lifthead.daemon.handover import Predecessor, offer
 from lifthead.daemon.host import Host, now
 from lifthead.deployment.derive import deployment
 from lifthead.deployment.fleet import EngineSpec, Fleet
@@ -32,7 +34,7 @@
 from lifthead.ledger.disk import Directory
 from lifthead.ledger.keeper import Keeper, open_journal
 from lifthead.ledger.quota import Budget, Quota
-from lifthead.members import watch
+from lifthead.members import last, watch
 from lifthead.members.drains import Drains, SelectorError, Word, chosen
 from lifthead.members.roster import Outcome, Roster
 from lifthead.members.store import Store
@@ -40,6 +42,7 @@
 
 BACKLOG = 4096
 LAG_EVERY = 0.05
+READY_WITHIN = 20.0  # seconds for a new process that takes a running one's sockets
 
 
 class Daemon:
@@ -71,6 +74,7 @@
         self.view = View()
         self.weight = Weight(random.Random(seed))
         self.roster: Roster | None = None
+        self.following: asyncio.Task | None = None  # the watched file of engines
         self.drains = Drains(start.roles)
         self._drains_file = run_dir / f"operator-{name}.json"
         if self._drains_file.exists():  # what an operator drained stays so over a restart
@@ -78,7 +82,8 @@
         self.host = Host(name, start, fleet.limits, tasks, self.gauges, log, grace, resumes, bill, decide)
         self.clients = Clients(fleet.limits, self.answer)
         self.stopping = asyncio.Event()
-        self.refusing = self.drained = False
+        self.refusing = self.drained = self.handed = False
+        self._list_file, self._list_changed = run_dir / f"list-{name}.json", False
         self.started_at = now()
         self.addresses: dict[str, str] = {}
 
@@ -106,6 +111,29 @@
 
     def on_push(self, news: ListNews) -> None:
         self.on_source("push", news.engines, news.whole)
+        self._list_changed = True
+
+    async def keep_list(self) -> None:
+        """Keeps the last pushed list on the disk; goes by it at the start if no push comes."""
+        kept, started = None, now()
+        with contextlib.suppress(OSError, msgspec.DecodeError):
+            kept = msgspec.json.decode(self._list_file.read_bytes(), type=last.Last)
+        while True:
+            await asyncio.sleep(0.25)
+            wall = time.time_ns() // 1000
+            if kept and last.due(kept, now() - started, self.host.listed_at > 0, wall):
+                self.log.warning(
+                    "no list of engines is pushed: by the last one", age_s=(wall - kept.at) / 1e6
+                )
+                self.view.tell("push", kept.engines, True, now() - (wall - kept.at))
+                self.tell_changes()
+            if self._list_changed:
+                self._list_changed = False
+                engines = list(self.view.engines_of("push"))
+                with contextlib.suppress(OSError):  # a full disk must not end a router that serves
+                    part = self._list_file.with_suffix(".part")
+                    part.write_bytes(msgspec.json.encode(last.Last(engines, wall)))
+                    part.replace(self._list_file)
 
     def on_source(self, source: str, engines: list[ListedEngine], whole: bool) -> None:
         """A source spoke: what of it changes the view is told to the module."""
@@ -329,6 +357,7 @@
     log: Any,
     decide: Callable[..., Router] = Router,
     engine_file: Path | None = None,
+    take_over: bool = False,
 ) -> None:
     """Runs the router until it is told to stop; returns once all that it had taken is answered. `decide`
     takes the module's place where baselines are measured beside it."""
@@ -336,27 +365,14 @@
     gc.freeze()  # what start-up made stays; a full collection would stall streams for nothing
     gc.set_threshold(5_000, 20, 100)
     spec, limits = fleet.routers[name], fleet.limits
+    socket = Path(spec.admin) if spec.admin else run_dir / f"{name}.sock"
+    socket.parent.mkdir(parents=True, exist_ok=True)
+    hand = socket.with_suffix(".hand")
+    old = await asyncio.to_thread(Predecessor, hand, 3) if take_over else None
     async with asyncio.TaskGroup() as tasks:
         daemon = Daemon(fleet, name, seed, log, tasks, run_dir, decide)
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, daemon.stopping.set)
-        # Listening to none until the health side can speak: a balancer never finds a port that lies.
-        checks = [
-            await _listen(functools.partial(health.agent, daemon.condition), spec.agent),
-            await _listen(functools.partial(health.pages, daemon.condition, daemon.gauges.page), spec.health),
-        ]
-        front = await _listen(daemon.clients.connection, spec.listen)
-        daemon.addresses = {
-            "agent": _address(checks[0]),
-            "health": _address(checks[1]),
-            "base_url": f"http://{_address(front)}/v1",
-        }
-        socket = Path(spec.admin) if spec.admin else run_dir / f"{name}.sock"
-        socket.parent.mkdir(parents=True, exist_ok=True)
-        socket.unlink(missing_ok=True)
-        before = os.umask(0o077)
-        desk = await asyncio.start_unix_server(functools.partial(admin.serve, daemon.answers()), str(socket))
-        os.umask(before)
         service = [tasks.create_task(daemon.measure()), tasks.create_task(daemon.host.look_after_streams())]
         if daemon.keeper:
             service += [tasks.create_task(daemon.keeper.write()), tasks.create_task(daemon.keeper.export())]
@@ -364,15 +380,52 @@
             service.append(
                 tasks.create_task(follow(list_url, name, daemon.on_push, daemon.host.on_list_lost, log))
             )
+            service.append(tasks.create_task(daemon.keep_list()))
         if engine_file:
             store = Store(Directory(run_dir / f"engines-{name}"))
             daemon.roster = Roster(fleet, store)
             if daemon.roster.generation:
                 daemon.tell_file()  # the last good one: a restart does not begin with nothing
-            service.append(tasks.create_task(watch.follow(engine_file, daemon.on_file, log)))
+            daemon.following = tasks.create_task(watch.follow(engine_file, daemon.on_file, log))
+            service.append(daemon.following)
         elif not list_url:
             daemon.on_source("settings", of_specs(fleet.engines), True)
         service.append(tasks.create_task(daemon.settle()))
+        if old:
+            await _ready(daemon)
+            await asyncio.to_thread(old.go)
+        # Listening to none until the health side can speak: a balancer never finds a port that lies.
+        places = zip(
+            (
+                functools.partial(health.agent, daemon.condition),
+                functools.partial(health.pages, daemon.condition, daemon.gauges.page),
+                daemon.clients.connection,
+            ),
+            (spec.agent, spec.health, spec.listen),
+            old.sockets if old else (None, None, None),
+            strict=True,
+        )
+        servers = [await _listen(*place) for place in places]
+        daemon.addresses = {
+            "agent": _address(servers[0]),
+            "health": _address(servers[1]),
+            "base_url": f"http://{_address(servers[2])}/v1",
+        }
+        desk = await _desk(daemon, socket)
+
+        def hand_over() -> None:
+            """Another process serves from here on: this one ends what it has, under a name of its own."""
+            for server in (*servers, desk):
+                server.close()
+            socket.unlink(missing_ok=True)
+            if daemon.following:  # one process keeps the generations
+                daemon.following.cancel()
+            daemon.handed = True
+            daemon.stopping.set()
+
+        if not daemon.keeper:  # a ledger has one writer: its router is stopped and started
+            listening = [server.sockets[0] for server in servers]
+            service.append(tasks.create_task(offer(hand, listening, hand_over)))
         log.info("serving", router=name, pid=os.getpid(), admin=str(socket), **daemon.addresses)
         print(
             msgspec.json.encode(
@@ -382,11 +435,16 @@
         )
 
         await daemon.stopping.wait()
-        log.info("stopping", reqs=len(daemon.host.in_hand))
-        if limits.stop_notice:  # time for balancers to read `drain`; reqs are still taken
-            await asyncio.sleep(limits.stop_notice / 1e6)
-        daemon.refusing = True
-        front.close()
+        log.info("stopping", reqs=len(daemon.host.in_hand), handed=daemon.handed)
+        if daemon.handed:
+            socket = socket.with_stem(f"{socket.stem}-{os.getpid()}")
+            desk = await _desk(daemon, socket)
+        else:
+            hand.unlink(missing_ok=True)
+            if limits.stop_notice:  # time for balancers to read `drain`; reqs are still taken
+                await asyncio.sleep(limits.stop_notice / 1e6)
+            daemon.refusing = True
+            servers[2].close()
         daemon.clients.stop()
         try:
             async with asyncio.timeout(limits.stop_within / 1e6):
@@ -399,12 +457,31 @@
         for task in service:
             task.cancel()
         daemon.host.close()
-        for server in (*checks, desk):
+        for server in (*servers, desk):
             server.close()
         socket.unlink(missing_ok=True)
         log.info("stopped", reqs=len(daemon.host.in_hand))
 
 
+async def _ready(daemon: Daemon) -> None:
+    """Until the new process could serve; OSError if it can't within its time, and the old one goes on."""
+    try:
+        async with asyncio.timeout(READY_WITHIN):
+            while not daemon.condition().ready:
+                await asyncio.sleep(0.02)
+    except TimeoutError:
+        raise OSError(f"not ready after {READY_WITHIN:.0f} s: {daemon.condition().why}") from None
+
+
+async def _desk(daemon: Daemon, path: Path) -> asyncio.Server:
+    """The admin socket, for this user alone."""
+    path.unlink(missing_ok=True)
+    before = os.umask(0o077)
+    desk = await asyncio.start_unix_server(functools.partial(admin.serve, daemon.answers()), str(path))
+    os.umask(before)
+    return desk
+
+
 async def _quiet(daemon: Daemon) -> None:
     """Waits briefly for connections to get their last bytes out, and for states to be let go of."""
     for _ in range(40):
@@ -413,7 +490,9 @@
         await asyncio.sleep(0.05)
 
 
-async def _listen(handler: Any, address: str) -> asyncio.Server:
+async def _listen(handler: Any, address: str, taken: Any = None) -> asyncio.Server:
+    if taken:
+        return await asyncio.start_server(handler, sock=taken, backlog=BACKLOG)
     host, _, port = address.rpartition(":")
     return await asyncio.start_server(handler, host, int(port), backlog=BACKLOG)
 
--- a/lifthead/members/view.py
+++ b/lifthead/members/view.py
@@ -71,6 +71,11 @@
         for name in names if found else ():
             found.engines.pop(name, None)
 
+    def engines_of(self, source: str) -> list[ListedEngine]:
+        """The last word of one source."""
+        found = self._sources.get(source)
+        return list(found.engines.values()) if found else []
+
     def changes(self, now: int) -> list[ListedEngine]:
         """What the module is to be told now; each engine once at most."""
         found = []
--- a/lifthead/standins/stage.py
+++ b/lifthead/standins/stage.py
@@ -33,18 +33,15 @@
         self._serve = list(serve) or [sys.executable, "-m", "lifthead.cli", "serve"]
         self._processes: dict[str, asyncio.subprocess.Process] = {}
         self._lists: asyncio.Server | None = None
+        self.list_url = ""
         self._starts = 0
 
     async def start(self) -> None:
         self._lists = await asyncio.start_server(self.list.connection, "127.0.0.1", 0)
+        self.list_url = "http://{}:{}/v1/engines".format(*self._lists.sockets[0].getsockname()[:2])
         await asyncio.gather(*(self.start_engine(name, cold=False) for name in self.fleet.engines))
         await asyncio.gather(*(self.start_router(name) for name in self.fleet.routers))
 
-    @property
-    def list_url(self) -> str:
-        assert self._lists
-        return "http://{}:{}/v1/engines".format(*self._lists.sockets[0].getsockname()[:2])
-
     async def _run(self, name: str, command: Sequence[str]) -> dict[str, Any]:
         """Starts a process and returns the line in which it says that it is ready."""
         errors = open(self.out / f"{name}.err", "ab")  # noqa: SIM115 - closed below, the child keeps its own
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,143 @@
+"""A router is replaced under load by one that takes its sockets; restarted ones go by their last list."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+
+import pytest
+from loopback import SCRIPT, body, http, raw
+from test_fleet import Processes, lifthead
+
+from lifthead.engines.codec import ListedEngine
+from lifthead.members.last import OLDEST, WAIT, Last, due
+
+DAY = 86_400_000_000
+READY = [ListedEngine("w", "127.0.0.1:9", "a", 0, "writer")]
+GONE = [ListedEngine("w", "127.0.0.1:9", "a", 0, "writer", readiness="gone")]
+
+
+@pytest.mark.parametrize(
+    ("last", "waited", "listed", "expected"),
+    [
+        (Last(READY, DAY), WAIT, False, True),
+        (Last(READY, DAY), WAIT - 1, False, False),
+        (Last(READY, DAY), WAIT, True, False),
+        (None, WAIT, False, False),
+        (Last(GONE, DAY), WAIT, False, False),
+        (Last(READY, 2 * DAY - OLDEST - 1), WAIT, False, False),
+        (Last(READY, 2 * DAY + 1), WAIT, False, False),
+    ],
+)
+def test_when_a_router_goes_by_its_last_list(last, waited, listed, expected):
+    assert due(last, waited, listed, 2 * DAY) is expected
+
+
+async def successor(stage, path):
+    return await stage._run("next", [
+        sys.executable, "-m", "lifthead.cli", "serve", str(path / "fleet.star"), "--router", "r", "--list",
+        stage.list_url, "--run", str(path), "--log", str(path / "log-next.jsonl"), "--take-over",
+    ])  # fmt: skip
+
+
+def test_no_connection_is_refused_and_no_stream_lost_while_a_router_is_replaced(tmp_path):
+    async def play():
+        async with Processes(tmp_path, SCRIPT) as stage:
+            at, old = stage.routers["r"]["base_url"].split("/")[2], stage._processes["r"]
+            answers, over = [], asyncio.Event()
+
+            async def client(number, tokens):
+                answers.append(
+                    await raw(at, http(body(f"{number}", stream=True, max_tokens=tokens)), within=20)
+                )
+
+            async with asyncio.TaskGroup() as tasks:
+
+                async def load():
+                    number = 0
+                    while not over.is_set():
+                        number += 1
+                        tasks.create_task(client(number, 300 if number % 10 == 0 else 8))
+                        await asyncio.sleep(0.01)
+
+                tasks.create_task(load())
+                await asyncio.sleep(0.4)
+                # One that takes the sockets and dies before it is ready changes nothing.
+                line = socket.socket(socket.AF_UNIX)
+                line.connect(str(tmp_path / "r.hand"))
+                line.settimeout(2)
+                _, numbers, _, _ = socket.recv_fds(line, 8, 3)
+                for number in numbers:
+                    os.close(number)
+                line.close()
+                await asyncio.sleep(0.2)
+                said = await successor(stage, tmp_path)
+                assert said["base_url"] == stage.routers["r"]["base_url"]
+                states = json.loads((await asyncio.to_thread(
+                    lifthead, "routers", "--run", tmp_path, "--json")).stdout)  # fmt: skip
+                assert {state["pid"]: state["state"] for state in states} == {
+                    old.pid: "drain",
+                    said["pid"]: "ready",
+                }
+                await asyncio.sleep(0.4)
+                over.set()
+            assert await old.wait() == 0
+            assert len(answers) > 60 and all(b"[DONE]" in answer for answer in answers)
+            served = (tmp_path / "log-next.jsonl").read_text().count('"event":"req"')
+            assert 10 < served < len(answers)
+
+    asyncio.run(asyncio.wait_for(play(), 60))
+
+
+def test_a_router_with_a_ledger_hands_nothing_over(tmp_path):
+    async def play():
+        async with Processes(tmp_path, SCRIPT + "ledger()\n") as stage:
+            with pytest.raises(RuntimeError):
+                await successor(stage, tmp_path)
+            assert "no router hands its sockets over" in (tmp_path / "next.err").read_text()
+            at = stage.routers["r"]["base_url"].split("/")[2]
+            assert b"[DONE]" in await raw(at, http(body("still", stream=True, max_tokens=4)))
+
+    asyncio.run(asyncio.wait_for(play(), 60))
+
+
+def test_routers_restarted_in_waves_without_a_list_serve_by_their_last_one(tmp_path):
+    three = SCRIPT.replace(
+        'router("r", zone = "a")', "\n".join(f'router("r{n}", zone = "a")' for n in range(3))
+    )
+
+    async def play():
+        async with Processes(tmp_path, three) as stage:
+            answers, over = {}, asyncio.Event()
+
+            async def load():
+                number = 0
+                while not over.is_set():
+                    number += 1
+                    up = sorted(stage.routers)
+                    at = stage.routers[up[number % len(up)]]["base_url"].split("/")[2]
+                    sent = http(body(f"{number}", stream=True, max_tokens=4))
+                    answers[number] = up[number % len(up)], await raw(at, sent, within=8)
+                    await asyncio.sleep(0.01)
+
+            async with asyncio.TaskGroup() as tasks:
+                await asyncio.sleep(1.2)  # lists are kept on the disk
+                stage._lists.close()  # the list's service is gone for whoever comes back
+                loader = tasks.create_task(load())
+                await stage.end("wr2", signal.SIGKILL)  # and the last list is wrong besides
+                for name in ("r0", "r1"):
+                    await stage.end(name, signal.SIGTERM)
+                    await stage.start_router(name)
+                    await asyncio.sleep(0.5)
+                over.set()
+                await loader
+            late = [answer for name, answer in list(answers.values())[-12:]]
+            assert all(b"[DONE]" in answer for answer in late)
+            assert {name for name, _ in list(answers.values())[-12:]} == {"r0", "r1", "r2"}
+            said = await asyncio.to_thread(lifthead, "members", "--run", tmp_path, "--json")
+            for name, found in json.loads(said.stdout).items():
+                assert found["sources"][0]["age_s"] > 1.5, name  # each says how old its list is
+
+    asyncio.run(asyncio.wait_for(play(), 60))
