--- a/lifthead/daemon/host.py
+++ b/lifthead/daemon/host.py
@@ -23,9 +23,9 @@
 from lifthead.engines import codec
 from lifthead.engines.codec import ENDINGS, ListNews, Sight, StrangeError
 from lifthead.engines.link import Connection, Link
-from lifthead.fleet.weight import Lately
 from lifthead.http1 import HttpError
 from lifthead.interface import Demand, Deployment, Effect, Ending, EngineEntry, LoadReport
+from lifthead.members.weight import Lately
 from lifthead.resume.notice import Notice
 from lifthead.resume.rescue import Broken, Draining, Rescue, to_move
 from lifthead.resume.splice import SeamError, Splice, Written, continuation
--- a/lifthead/daemon/serve.py
+++ b/lifthead/daemon/serve.py
@@ -29,7 +29,6 @@
 from lifthead.engines.codec import ListedEngine, ListNews
 from lifthead.engines.listing import follow
 from lifthead.fleet import admin, health
-from lifthead.fleet.weight import Weight, wish
 from lifthead.http1 import Message
 from lifthead.ledger.disk import Directory
 from lifthead.ledger.keeper import Keeper, open_journal
@@ -39,6 +38,7 @@
 from lifthead.members.roster import Outcome, Roster
 from lifthead.members.store import Store
 from lifthead.members.view import View
+from lifthead.members.weight import Weight, wish
 
 BACKLOG = 4096
 LAG_EVERY = 0.05
--- a/tests/test_weight.py
+++ b/tests/test_weight.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lifthead.fleet.weight import LEAST, LEAST_PUSHED, RISE_AFTER, SPAN, STEP, Lately, Weight, wish
+from lifthead.members.weight import LEAST, LEAST_PUSHED, RISE_AFTER, SPAN, STEP, Lately, Weight, wish
 
 
 @pytest.mark.parametrize(
