The list of engines is worked out once for all news since it was last needed

Cause: found in the laboratory: a zone's loss at 2,000 engines comes as 400 news, each of which had a router sort its engines and even out its zones anew: 1.2 s in which no req was served. Change: on_engines notes the news; what follows is worked out before a req, a look round or a window's turn. Measured: 400 news and a req at 2,000 engines 5.5 ms, before 1,246 ms.

--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -142,6 +142,7 @@
         self.warm = dict.fromkeys(self.finished, 0.0)  # in so many windows of one warm engine
         host.wake(self.window, TURN_OF_WINDOW)
         host.wake(LOOK_EVERY, LOOK_ROUND)
+        self.unsettled = True
         self.ask_again = False
         if deployment.must_ask:
             host.watch_engines()
@@ -168,6 +169,14 @@
             engine.ready, engine.up_since = entry.readiness == "ready", entry.up_since
             if entry.up_since:
                 self._cold(engine, entry.up_since + self.warm_within)
+        self.unsettled = True
+
+    def _settle(self) -> None:
+        """What follows from the list, once for all news since: a zone's loss comes as hundreds of them, and to
+        a large fleet's router each would cost milliseconds."""
+        if not self.unsettled:
+            return
+        self.unsettled = False
         ready = [self.engines[name] for name in sorted(self.engines) if self.engines[name].ready]
         self.readers = [engine for engine in ready if engine.role == "read"]
         self.writers = [engine for engine in ready if engine.role != "read"]
@@ -224,6 +233,7 @@
     def _route(self, req: Req) -> None:
         """The ordinary path of a req, from top to bottom; entered again when the read has ended."""
         now = self.host.now()
+        self._settle()
         if req.forwards >= self.max_forwards or now + self.tick >= req.due_at:
             return self._give_up(req)
         if req.held_at is None:
@@ -592,6 +602,7 @@
         """What a silent engine holds is called off and tried elsewhere; what must not run twice stays there
         and hopes. While most of a role are silent, work would only be thrown from one to the next."""
         now = self.host.now()
+        self._settle()
         silent = [e for e in self._watch(now) if e.ready and self._silent(e, now)]
         for engine in sorted(silent, key=lambda e: (e.role != "read", e.name)):
             role = self.readers if engine.role == "read" else self.writers
@@ -660,6 +671,7 @@
 
     def _turn_of_window(self) -> None:
         now = self.host.now()
+        self._settle()
         if self.ask_again:
             self.ask_again = False
             self.host.watch_engines()
