--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -172,8 +172,8 @@
         self.unsettled = True
 
     def _settle(self) -> None:
-        """What follows from the list, once for all news since: a zone's loss comes as hundreds of them, and to
-        a large fleet's router each would cost milliseconds."""
+        """What follows from the list, once for all news since: a zone's loss comes as hundreds of them, and
+        to a large fleet's router each would cost milliseconds."""
         if not self.unsettled:
             return
         self.unsettled = False
