--- a/lifthead/lab/crowd.py
+++ b/lifthead/lab/crowd.py
@@ -1,7 +1,7 @@
 """Clients in simulated time: sessions that grow, shared beginnings, tenants, retries, impatience, leaving."""
 
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any, Protocol
 
 from lifthead.deployment.fleet import Fleet, GroupMix
@@ -64,7 +64,6 @@
     def put(self, ev: str, **fields: Any) -> None: ...
     def wanted(self, want: Want, importance: float) -> None: ...
     def answered(self, want: Want, how: str, first: int, asked_at: int) -> None: ...
-    def gap(self, took: int) -> None: ...
 
 
 @dataclass(slots=True, eq=False)
@@ -86,14 +85,11 @@
     again: bool
     streamed: bool
     asked_at: int
-    over: bool = field(default=False)
+    over: bool = False
 
     def answered(self, hand: Hand, how: str, hold_off: int) -> None:
         self.crowd.ended(self, hand, how, hold_off)
 
-    def resumed(self, gap: int) -> None:
-        self.crowd.sink.gap(gap)
-
 
 class Crowd:
     def __init__(self, fleet: Fleet, seed: int, clock: Clock, routers: dict[str, Router], sink: Sink) -> None:
@@ -174,7 +170,7 @@
         session, group = want.session, self.fleet.groups[want.session.mix.group]
         budget = min(round(group.target * self.chance.uniform(0.25, 0.5)), left) if want.impatient else left
         first = session.router % len(self.routers)
-        turns = (*self.routers[first:], *self.routers[:first])
+        turns = (self.routers[n % len(self.routers)] for n in range(first, first + len(self.routers)))
         router = next((each for each in turns if each.ready), None)
         want.tries += 1
         if router is None:
--- a/lifthead/lab/engine.py
+++ b/lifthead/lab/engine.py
@@ -404,7 +404,6 @@
 
     def _stop(self, sent: Sent, how: str) -> None:
         self.put("wrote", id=sent.id, tokens=min(self.written(sent), sent.words))
-        self._count()
         self.running -= 1
         self._free(sent)
         self._end(sent, how)
--- a/lifthead/lab/router.py
+++ b/lifthead/lab/router.py
@@ -3,7 +3,7 @@
 What the daemon sees on sockets is told here by the same endings; streams that break go to the same rescue."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 from lifthead import control
@@ -35,10 +35,8 @@
     first_at: int = 0
     written: int = 0
     legs: int = 0
-    broken_at: int = 0
     ran: tuple[str, int] = ("", 0)
     ended: str = ""
-    trail: list[tuple[int, str, str]] = field(default_factory=list)
 
 
 class Router:
@@ -132,7 +130,6 @@
             ask.beginning, ask.beginning_len, ask.session, at.role == "read", hand.held, self.clock.now,
         )  # fmt: skip
         hand.forwards, hand.sent = hand.forwards + 1, hand.sent + 1
-        hand.trail.append((self.clock.now, engine, "sent"))
         sent.abandon = self.clock.at(abandon_at, self._end, sent, Sight.OUT_OF_TIME)
         self.clock.after(sent.engine.overheads.own, self._send, sent)
 
@@ -211,7 +208,6 @@
         self.control.on_begun(hand.id, sent.number, self.clock.now - sent.sent_at, ask.streamed)
         if hand.legs:
             self.rescue.settled(hand.serial)
-            ask.resumed(self.clock.now - hand.broken_at)
         elif ask.streamed:
             hand.first_at = self.clock.now
         if ask.streamed:
@@ -241,7 +237,6 @@
             hand.held = None
         ending, mark = ENDINGS[sight]
         hand.out = None
-        hand.trail.append((self.clock.now, sent.engine.spec.name, sight.name.lower()))
         waits = False
         if hand.begun and ending is not Ending.DONE:
             if not hand.ask.streamed:
@@ -266,7 +261,7 @@
     # Streams that outlive a writer.
 
     def _broken(self, hand: Hand, sent: Sent, made: int) -> bool:
-        hand.written, hand.broken_at, hand.begun = hand.written + made, self.clock.now, False
+        hand.written, hand.begun = hand.written + made, False
         hand.ran = sent.engine.spec.name, sent.sent_at
         if hand.written >= hand.ask.words:
             self._answer(hand, "done")
--- a/lifthead/lab/search.py
+++ b/lifthead/lab/search.py
@@ -7,7 +7,6 @@
 import tempfile
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
 
 import hypothesis
 import msgspec
@@ -91,27 +90,29 @@
 
 def search(variant: Variant, bounds: Bounds, tries: int, seed: int) -> Found | int:
     """The smallest bad day that was found, or how many were tried without one."""
-    fleet, seen = script.read(Path(variant.file)), {"tried": 0, "found": False}
+    fleet = script.read(Path(variant.file))
     known: dict[bytes, tuple[float, list[str]]] = {}
 
     def bad(troubles: list[Trouble]) -> bool:
         key = msgspec.json.encode(troubles, enc_hook=int)
         if key not in known:
-            seen["tried"] += 1
             known[key] = play(fleet, variant, troubles, bounds.length, seed)
         service, breaches = known[key]
         return bool(breaches) or service < bounds.service
 
-    terms: dict[str, Any] = {"max_examples": tries, "database": None, "deadline": None}
-    checks = list(hypothesis.HealthCheck)
     try:
         troubles = hypothesis.find(
             days(fleet, bounds),
             bad,
-            settings=hypothesis.settings(**terms, suppress_health_check=checks),
+            settings=hypothesis.settings(
+                max_examples=tries,
+                database=None,
+                deadline=None,
+                suppress_health_check=list(hypothesis.HealthCheck),
+            ),
             random=random.Random(seed),
         )
     except NoSuchExample:
-        return seen["tried"]
+        return len(known)
     service, breaches = known[msgspec.json.encode(troubles, enc_hook=int)]
-    return Found(troubles, service, breaches, seen["tried"])
+    return Found(troubles, service, breaches, len(known))
--- a/lifthead/lab/world.py
+++ b/lifthead/lab/world.py
@@ -18,7 +18,6 @@
 
 AT_ENGINES = ("silent", "slow", "reset", "lost", "full", "flush", "garbage", "link_slow")
 RESTART = 700_000  # microseconds that a process takes to start
-LOOK_EVERY = 1_000_000
 NOT_PLAYED = ("overlap", "roll", "naive_roll")  # what lies in bytes, or is an operator's tool
 
 
@@ -71,7 +70,7 @@
             for name, spec in fleet.engines.items()
         }
         self.listed = {name: (spec, "ready", 0) for name, spec in fleet.engines.items()}
-        self.tally = Tally(fleet, self.clock, self._tape("clients"))
+        self.tally = Tally(fleet, self._tape("clients"))
         self.routers = {
             name: Router(fleet, name, seed, self.clock, self.engines, decide) for name in fleet.routers
         }
@@ -80,7 +79,6 @@
         self.crowd = Crowd(fleet, seed, self.clock, self.routers, self.tally)
         for trouble in fleet.troubles:
             self.clock.after(trouble.at, self._trouble, trouble)
-        self.clock.after(LOOK_EVERY, self._look)
 
     def _tape(self, name: str) -> Callable[..., None]:
         if self.tapes is None:
@@ -108,11 +106,6 @@
         }
         self._tape("facts")("facts", groups=groups, **{key: getattr(rules, key) for key in keys})
 
-    def _look(self) -> None:
-        self.tally.look(self.engines)
-        if self.clock.now < self.crowd.until:
-            self.clock.after(LOOK_EVERY, self._look)
-
     # The list.
 
     def _say(self, readiness: str, *names: str, started: bool = False) -> None:
@@ -142,7 +135,6 @@
         ]
 
     def _trouble(self, trouble: Trouble) -> None:
-        self.tally.mark(trouble.what)
         self._tape("stage")("trouble", what=trouble.what, engines=trouble.engines, routers=trouble.routers)
         names, lasts = self._chosen(trouble.engines), int(trouble.lasts)
         if trouble.what in AT_ENGINES:
