--- a/benchmarks/removal.py
+++ b/benchmarks/removal.py
@@ -55,7 +55,7 @@
     stage.start_router = with_file
     try:
         await stage.start()
-        addresses = [said["base_url"].split("/")[2] for said in stage.routers.values()]
+        addresses = [stage.address(name) for name in stage.routers]
         clients = Clients(fleet, fleet.crowd, 1, Record(directory / "clients.jsonl"), lambda: addresses)
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(clients.play())
--- a/lifthead/deployment/fleet.py
+++ b/lifthead/deployment/fleet.py
@@ -234,3 +234,12 @@
     budgets: dict[str, BudgetTerms] = {}
     crowd: Crowd | None = None
     troubles: list[Trouble] = []
+
+    def chosen(self, wanted: list[str]) -> list[str]:
+        """Engines by name, `zone:NAME`, `cell:N` or `kind:NAME`; all if none are named."""
+        return [
+            name
+            for name, spec in self.engines.items()
+            if not wanted
+            or {name, f"zone:{spec.zone}", f"cell:{spec.cell}", f"kind:{spec.kind}"} & set(wanted)
+        ]
--- a/lifthead/lab/crowd.py
+++ b/lifthead/lab/crowd.py
@@ -7,8 +7,8 @@
 from lifthead.deployment.fleet import Fleet, GroupMix
 from lifthead.lab.clock import Clock
 from lifthead.lab.router import HOP, Hand, Router
+from lifthead.standins.crowd import MOST_PROMPT
 
-MOST_PROMPT = 24_000  # tokens, where a trouble makes prompts longer
 AROUND = 4  # tokens around each message
 WORD = 1.75  # prompt tokens that one token of an answer becomes in the next turn (its words are long)
 LEAST_LEFT = 50_000  # microseconds of its deadline under which a client tries no more
--- a/lifthead/lab/engine.py
+++ b/lifthead/lab/engine.py
@@ -16,8 +16,9 @@
 from lifthead.engines.codec import Sight
 from lifthead.interface import LoadReport
 from lifthead.lab.clock import Clock, Timer
+from lifthead.standins.cold import Warmth
+from lifthead.standins.engine import KEPT, Fault
 
-KEPT = 512  # texts that an engine keeps
 WARMING = 500_000  # microseconds between looks at how warm it has become
 
 
@@ -69,14 +70,6 @@
     from_step: int = 0  # the writer's count when its first token comes
 
 
-@dataclass(slots=True)
-class Fault:
-    until: int
-    part: float
-    times: float
-    group: str
-
-
 class Engine:
     def __init__(
         self,
@@ -99,8 +92,7 @@
 
     def start(self, cold: bool) -> None:
         """Up, with nothing kept."""
-        self.down, self.cold, self.fallen, self.started_at = False, cold, False, self.clock.now
-        self.arrived: deque[tuple[int, float]] = deque()
+        self.down, self.warmth = False, Warmth(self.rules, self.clock.now, cold)
         self.kept: OrderedDict[str, int] = OrderedDict()
         self.held: dict[str, int] = {}
         self.dropped: set[str] = set()
@@ -160,33 +152,14 @@
             self._after(silent.until - self.clock.now, act, *args)
         return silent is None
 
-    def warmth(self) -> float:
-        age = (self.clock.now - self.started_at) / max(self.rules.warm_within, 1)
-        if not self.cold or age >= 1:
-            return 1.0
-        return self.rules.cold_share + (1 - self.rules.cold_share) * age
-
     def _warmer(self) -> None:
         self._tune()
-        if self.warmth() < 1:
+        if self.warmth.at(self.clock.now) < 1:
             self._after(WARMING, self._warmer)
 
     def pace(self) -> float:
         slow = self._has("slow")
-        return (slow.times if slow else 1.0) / self.warmth()
-
-    def _count_work(self, work: float) -> None:
-        """Too much of it while cold, and the engine falls over and stays down."""
-        if self.warmth() >= 1:
-            return
-        self.arrived.append((self.clock.now, work))
-        while self.arrived[0][0] < self.clock.now - self.rules.overload_for:
-            self.arrived.popleft()
-        bound = self.rules.tip_multiple * self.warmth() * self.rules.overload_for
-        total = sum(each for _, each in self.arrived)
-        if not self.fallen and total > bound + 3 * total / len(self.arrived):
-            self.fallen = True
-            self.put("fell", name=self.spec.name)
+        return (slow.times if slow else 1.0) / self.warmth.at(self.clock.now)
 
     # A forward.
 
@@ -204,13 +177,16 @@
     def _serve(self, sent: Sent, work: float) -> None:
         if sent.ended or not self._spoken(self._serve, sent, work):
             return
-        self._count_work(work)
+        if self.warmth.add(self.clock.now, work):
+            self.put("fell", name=self.spec.name)
         full = self._has("full")
         if self._meets("garbage"):
             self._end(sent, "garbage")
             sent.router.told(sent, Sight.STRANGE, 0, None)
         elif (
-            self.fallen or (full and full.group in ("", sent.group)) or (sent.reads and self.role == "write")
+            self.warmth.fallen
+            or (full and full.group in ("", sent.group))
+            or (sent.reads and self.role == "write")
         ):
             self._refuse(sent)
         elif sent.reads:
--- a/lifthead/lab/world.py
+++ b/lifthead/lab/world.py
@@ -12,9 +12,11 @@
 from lifthead.deployment.fleet import Fleet, Trouble
 from lifthead.lab.clock import Clock
 from lifthead.lab.crowd import Crowd, Trend
-from lifthead.lab.engine import Engine, Fault, Overheads
+from lifthead.lab.engine import Engine, Overheads
 from lifthead.lab.router import HOP, NOTICED, Router
 from lifthead.lab.tally import Tally
+from lifthead.standins.engine import Fault
+from lifthead.standins.record import facts
 
 AT_ENGINES = ("silent", "slow", "reset", "lost", "full", "flush", "garbage", "link_slow")
 RESTART = 700_000  # microseconds that a process takes to start
@@ -91,21 +93,12 @@
         longest = max((group.deadline for group in self.fleet.groups.values()), default=0)
         self.clock.run(self.crowd.until + int(longest) * 2 + 2_000_000)
         if self.tapes:
-            self._facts()
+            self._tape("facts")("facts", **facts(self.fleet))
             self._tape("stage")("over")
             self.tapes.close()
         took = time.perf_counter() - began
         return self.tally.summary() | {"events": self.clock.events, "took_s": round(took, 2)}
 
-    def _facts(self) -> None:
-        rules = self.fleet.rules
-        keys = ("drain_grace", "let_go_within", "cold_share", "warm_within", "tip_multiple", "overload_for")
-        groups = {
-            group.name: {key: getattr(group, key) for key in ("effect", "keyed_within", "keyed_for")}
-            for group in self.fleet.groups.values()
-        }
-        self._tape("facts")("facts", groups=groups, **{key: getattr(rules, key) for key in keys})
-
     # The list.
 
     def _say(self, readiness: str, *names: str, started: bool = False) -> None:
@@ -126,17 +119,9 @@
 
     # Troubles.
 
-    def _chosen(self, wanted: list[str]) -> list[str]:
-        return [
-            name
-            for name, spec in self.fleet.engines.items()
-            if not wanted
-            or {name, f"zone:{spec.zone}", f"cell:{spec.cell}", f"kind:{spec.kind}"} & set(wanted)
-        ]
-
     def _trouble(self, trouble: Trouble) -> None:
         self._tape("stage")("trouble", what=trouble.what, engines=trouble.engines, routers=trouble.routers)
-        names, lasts = self._chosen(trouble.engines), int(trouble.lasts)
+        names, lasts = self.fleet.chosen(trouble.engines), int(trouble.lasts)
         if trouble.what in AT_ENGINES:
             for name in names:
                 self._fault(name, trouble.what, lasts, trouble.part, trouble.times, trouble.group)
--- a/lifthead/standins/day.py
+++ b/lifthead/standins/day.py
@@ -11,7 +11,7 @@
 from lifthead.members.rolling import Kept, Place, Rolling
 from lifthead.standins import verify
 from lifthead.standins.crowd import Clients, Trend
-from lifthead.standins.record import Record, now
+from lifthead.standins.record import Record, facts, now
 from lifthead.standins.stage import Stage
 from lifthead.standins.text import filler
 
@@ -31,28 +31,11 @@
         self.clients = Clients(fleet, fleet.crowd, seed, Record(out / "clients.jsonl"), self._addresses)
 
     def _addresses(self) -> list[str]:
-        return [said["base_url"].split("/")[2] for said in self.stage.routers.values()]
+        return [self.stage.address(name) for name in self.stage.routers]
 
     async def play(self) -> dict[str, Any]:
         """The whole day; its summary."""
-        rules = self.fleet.rules
-        Record(self.out / "facts.jsonl").put(
-            "facts",
-            drain_grace=rules.drain_grace,
-            let_go_within=rules.let_go_within,
-            cold_share=rules.cold_share,
-            warm_within=rules.warm_within,
-            tip_multiple=rules.tip_multiple,
-            overload_for=rules.overload_for,
-            groups={
-                group.name: {
-                    "effect": group.effect,
-                    "keyed_within": group.keyed_within,
-                    "keyed_for": group.keyed_for,
-                }
-                for group in self.fleet.groups.values()
-            },
-        )
+        Record(self.out / "facts.jsonl").put("facts", **facts(self.fleet))
         try:
             await self.stage.start()
             self.stage.record.put("begin")
@@ -70,19 +53,10 @@
         unclean = {name: code for name, code in codes.items() if code != 0}
         return summary | ({"exit_codes": unclean} if unclean else {})
 
-    def _engines(self, chosen: list[str]) -> list[str]:
-        """Engines by name, zone, cell or kind; all if none are named."""
-        fleet, found = self.fleet, []
-        for name, spec in fleet.engines.items():
-            marks = {name, f"zone:{spec.zone}", f"cell:{spec.cell}", f"kind:{spec.kind}"}
-            if not chosen or marks & set(chosen):
-                found.append(name)
-        return found
-
     async def _trouble(self, trouble: Trouble) -> None:
         await asyncio.sleep(trouble.at / 1e6)
         self.stage.record.put("trouble", what=trouble.what, engines=trouble.engines, routers=trouble.routers)
-        engines = self._engines(trouble.engines)
+        engines = self.fleet.chosen(trouble.engines)
         if trouble.what in AT_ENGINES:
             await asyncio.gather(
                 *(
--- a/lifthead/standins/engine.py
+++ b/lifthead/standins/engine.py
@@ -14,6 +14,7 @@
 import h11
 
 from lifthead.deployment.fleet import EngineSpec, Fleet, StandIn
+from lifthead.standins.cold import Warmth
 from lifthead.standins.record import Record, now
 from lifthead.standins.text import answer
 from lifthead.standins.wire import Asked, Client, Server, first_of
@@ -64,11 +65,9 @@
         self.spec, self.record = spec, record
         self.role, self.memory = fleet.kinds[spec.kind].role, fleet.kinds[spec.kind].memory
         self.like = fleet.stand_ins.get(spec.kind) or StandIn(kind=spec.kind)
-        self.rules = fleet.rules
         self.groups = {model: group.name for group in fleet.groups.values() for model in group.models}
         self.chance = random.Random(seed)
-        self.started_at, self.cold, self.fallen = now(), cold, False
-        self.arrived: deque[tuple[int, float]] = deque()  # work that came while cold
+        self.warmth = Warmth(fleet.rules, now(), cold)
         self.kept: OrderedDict[str, int] = OrderedDict()
         self.held: dict[str, Held] = {}
         self.dropped: set[str] = set()  # let go of before the read had ended
@@ -115,27 +114,7 @@
     def pace(self) -> float:
         """How many times slower than when warm and well."""
         slow = self.fault("slow")
-        return (slow.times if slow else 1.0) / self.warmth()
-
-    def warmth(self) -> float:
-        if not self.cold:
-            return 1.0
-        age = (now() - self.started_at) / max(self.rules.warm_within, 1)
-        return 1.0 if age >= 1 else self.rules.cold_share + (1 - self.rules.cold_share) * age
-
-    def _arrives(self, work: float) -> None:
-        """Counts what is sent to a cold engine; too much of it, and it falls over and stays down."""
-        if self.warmth() >= 1:
-            return
-        at, window = now(), self.rules.overload_for
-        self.arrived.append((at, work))
-        while self.arrived[0][0] < at - window:
-            self.arrived.popleft()
-        bound = self.rules.tip_multiple * self.warmth() * window
-        mean = sum(each for _, each in self.arrived) / len(self.arrived)
-        if not self.fallen and sum(each for _, each in self.arrived) > bound + 3 * mean:
-            self.fallen = True
-            self.record.put("fell", name=self.spec.name)
+        return (slow.times if slow else 1.0) / self.warmth.at(now())
 
     # What is asked.
 
@@ -171,7 +150,7 @@
             return await self._chat(server, asked)
         await self._not_silent(asked)
         if asked.path == "/health":
-            return server.whole(503 if self.fallen else 200, b"{}", self._load())
+            return server.whole(503 if self.warmth.fallen else 200, b"{}", self._load())
         if asked.path == "/v1/kv/release":
             return self._release(server, str(json.loads(asked.body).get("request_id")))
         if asked.path == "/standin/fetch":
@@ -204,7 +183,8 @@
         try:
             if not await self._not_silent(asked):  # recorded all the same: to its router it was out
                 return None
-            self._arrives(work)
+            if self.warmth.add(now(), work):
+                self.record.put("fell", name=self.spec.name)
             if self.meets("garbage"):
                 server.raw(b"\x00\x01 this is not the protocol\r\n\r\n" + b"\xff" * 64)
                 await server.writer.drain()
@@ -212,7 +192,7 @@
                 how = "garbage"
                 return
             full = self.fault("full")
-            if self.fallen or (full and full.group in ("", group)) or (reads and self.role == "write"):
+            if self.warmth.fallen or (full and full.group in ("", group)) or (reads and self.role == "write"):
                 how = "refused"
                 return server.whole(
                     503, b'{"error":{"message":"full"}}', self._load({"x-lifthead-not-run": "1"})
--- a/lifthead/standins/record.py
+++ b/lifthead/standins/record.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from lifthead.deployment.fleet import Fleet
+
 _encode = msgspec.json.Encoder(enc_hook=int).encode  # lengths of time are whole numbers
 
 
@@ -13,6 +15,15 @@
     return time.monotonic_ns() // 1000
 
 
+def facts(fleet: Fleet) -> dict[str, Any]:
+    """What a day's records say of its rules, for the checker."""
+    rules = ("drain_grace", "let_go_within", "cold_share", "warm_within", "tip_multiple", "overload_for")
+    group = ("effect", "keyed_within", "keyed_for")
+    return {key: getattr(fleet.rules, key) for key in rules} | {
+        "groups": {each.name: {key: getattr(each, key) for key in group} for each in fleet.groups.values()}
+    }
+
+
 class Record:
     """One stand-in's record. Without a path it keeps nothing."""
 
--- a/lifthead/standins/stage.py
+++ b/lifthead/standins/stage.py
@@ -102,6 +102,10 @@
         by = time.time_ns() // 1000 + limit if limit else 0
         await self.list.change(*(self._entry(name, readiness) | {"drains_by": by} for name in names))
 
+    def address(self, router: str) -> str:
+        """Where a running router listens."""
+        return self.routers[router]["base_url"].split("/")[2]
+
     async def fault(self, name: str, what: str, lasts: int, part: float, times: float, group: str) -> None:
         said = msgspec.json.encode(
             {"what": what, "lasts": int(lasts), "part": part, "times": times, "group": group}
@@ -143,9 +147,9 @@
     async def end(self, name: str, how: signal.Signals) -> int:
         """Signals a process and waits for its exit; returns its exit code."""
         process = self._processes.pop(name)
-        said = self.routers.pop(name, None)
-        if said:
-            address = said["base_url"].split("/")[2]
+        if name in self.routers:
+            address = self.address(name)
+            del self.routers[name]
             self.record.put(
                 "router_killed" if how is signal.SIGKILL else "router_stop", name=name, address=address
             )
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -25,7 +25,7 @@
         async with Processes(tmp_path, TWO.replace("limits(", 'limits(stop_notice = "400ms", ')) as stage:
             balancer, over, answers = Balancer(Record(tmp_path / "balancer.jsonl"), 1), asyncio.Event(), []
             for name, said in stage.routers.items():
-                balancer.add(name, said["base_url"].split("/")[2], said["agent"], said["health"])
+                balancer.add(name, stage.address(name), said["agent"], said["health"])
 
             async def client(number):
                 at = balancer.choose()
@@ -79,7 +79,7 @@
         async with Processes(tmp_path, TWO) as stage:
             balancer = Balancer(Record(tmp_path / "balancer.jsonl"), 1)
             for name, said in stage.routers.items():
-                balancer.add(name, said["base_url"].split("/")[2], said["agent"], said["health"])
+                balancer.add(name, stage.address(name), said["agent"], said["health"])
             async with asyncio.TaskGroup() as tasks:
                 check = tasks.create_task(balancer.check())
                 await until(lambda: all(each.up for each in balancer.behind.values()))
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -8,6 +8,7 @@
 from loopback import KEY, Loopback, ask, body, http, raw
 
 from lifthead.engines.codec import ListedEngine, ListNews
+from lifthead.standins.cold import Warmth
 
 LONG = "fuel card " * 2500  # some 6,000 tokens: read at a reader
 
@@ -322,15 +323,14 @@
 def test_a_thousand_at_once_to_one_cold_engine(tmp_path):
     async def play():
         async with Loopback(tmp_path, engines=("rd", "wr")) as loop:
-            loop.engines["wr"].cold = True
-            loop.engines["wr"].started_at = time.monotonic_ns() // 1000
+            loop.engines["wr"].warmth = Warmth(loop.fleet.rules, time.monotonic_ns() // 1000, cold=True)
             started = time.time_ns() // 1000
             entry = ListedEngine("wr", loop.listed["wr"], "a", 0, "writer", started_at=started)
             loop.daemon.host.on_list(ListNews(False, [entry]))
             answers = await asyncio.gather(*(ask(loop.address, body(str(n))) for n in range(1000)))
             ends = [status for status, _, _ in answers]
             assert len(ends) == 1000 and set(ends) <= {200, 502, 503, 504}
-            assert not loop.engines["wr"].fallen and ends.count(503) > 900
+            assert not loop.engines["wr"].warmth.fallen and ends.count(503) > 900
 
     run(play())
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -40,7 +40,7 @@
 
 
 def address(stage):
-    return stage.routers["r"]["base_url"].split("/")[2]
+    return stage.address("r")
 
 
 async def agent(stage):
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -46,7 +46,7 @@
     async def play():
         patient = SCRIPT.replace('"2s")\ngroup', '"9s")\ngroup').replace('"300ms", body', '"3s", body')
         async with Processes(tmp_path, patient) as stage:
-            at, old = stage.routers["r"]["base_url"].split("/")[2], stage._processes["r"]
+            at, old = stage.address("r"), stage._processes["r"]
             answers, over = [], asyncio.Event()
 
             async def client(number, tokens):
@@ -99,7 +99,7 @@
             with pytest.raises(RuntimeError):
                 await successor(stage, tmp_path)
             assert "no router hands its sockets over" in (tmp_path / "next.err").read_text()
-            at = stage.routers["r"]["base_url"].split("/")[2]
+            at = stage.address("r")
             assert b"[DONE]" in await raw(at, http(body("still", stream=True, max_tokens=4)))
 
     asyncio.run(asyncio.wait_for(play(), 60))
@@ -119,7 +119,7 @@
                 while not over.is_set():
                     number += 1
                     up = sorted(stage.routers)
-                    at = stage.routers[up[number % len(up)]]["base_url"].split("/")[2]
+                    at = stage.address(up[number % len(up)])
                     sent = http(body(f"{number}", stream=True, max_tokens=4))
                     answers[number] = up[number % len(up)], await raw(at, sent, within=8)
                     await asyncio.sleep(0.01)
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -15,11 +15,12 @@
 from lifthead.deployment.fleet import Trouble
 from lifthead.engines.codec import Sight
 from lifthead.lab.clock import Clock
-from lifthead.lab.engine import Engine, Fault, Overheads, Sent
+from lifthead.lab.engine import Engine, Overheads, Sent
 from lifthead.lab.run import Variant, compare, interval, play
 from lifthead.lab.search import Bounds, Found, search
 from lifthead.lab.world import AT_ENGINES, World
 from lifthead.standins import verify
+from lifthead.standins.engine import Fault
 
 EXAMPLES = Path(__file__).parents[1] / "examples"
 MINUTE, QUIET = str(EXAMPLES / "bad-minute.star"), str(EXAMPLES / "quiet.star")
@@ -139,9 +140,9 @@
     peer.engine.kill()
     assert peer.run(0.2)[-1][:2] == ("b", Sight.CUT)
     peer.engine.start(cold=True)
-    assert not peer.engine.held and peer.engine.warmth() == pytest.approx(0.25, abs=0.01)
+    assert not peer.engine.held and peer.engine.warmth.at(peer.clock.now) == pytest.approx(0.25, abs=0.01)
     peer.run(5)
-    assert peer.engine.warmth() == 1.0
+    assert peer.engine.warmth.at(peer.clock.now) == 1.0
 
 
 def test_the_same_seed_is_the_same_day_whatever_the_processes():
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -559,7 +559,7 @@
         async def client(number):
             said = body(f"{seed} {number}", stream=True, max_tokens=30)
             name = chance.choice(sorted(stage.routers) or ["r0"])
-            at = stage.routers[name]["base_url"].split("/")[2] if name in stage.routers else "127.0.0.1:1"
+            at = stage.address(name) if name in stage.routers else "127.0.0.1:1"
             try:
                 answer = await raw(at, http(said), within=8)
             except (OSError, TimeoutError):
