A req is told to the module in one place; rolls look, ask and keep files more plainly

Cause: read-through: host.py built a Demand twice, small files were put in place in three ways, the roll's command made a roll only to look at the fleet, read readiness out of a word for balancers, and asked by a field popped from the question; the same terms stood in both kinds of step. Change: Host._tell, replace_file, Lookout, a router's state says ready; Step.under_way and Roll._overdue.

--- a/lifthead/cli.py
+++ b/lifthead/cli.py
@@ -329,12 +329,10 @@
             raise rolling.BusyError(
                 f"{place.path}: a roll is not over: --resume or --forget" if kept else "no roll to resume"
             )
-        if kept:
-            carried = rolling.Rolling(run, place, kept, say)
-        else:
-            carried = rolling.Rolling(run, place, rolling.Kept(Plan([]), restart, restart_router), say)
-            facts = await carried.facts()
-            engines = [] if selector == "-" else named(selector, carried.places)
+        if kept is None:
+            lookout = rolling.Lookout(run)
+            facts = await lookout.facts()
+            engines = [] if selector == "-" else named(selector, lookout.places)
             chosen = sorted(facts.routers) if routers == "all" else [*filter(None, routers.split(","))]
             if (engines and not restart) or (chosen and not restart_router):
                 raise ValueError("expected --restart for engines and --restart-router for routers")
@@ -344,8 +342,8 @@
             )  # fmt: skip
             if why := refusal(plan, facts):
                 raise ValueError(why)
-            carried = rolling.Rolling(run, place, rolling.Kept(plan, restart, restart_router), say)
-        return await carried.run()
+            kept = rolling.Kept(plan, restart, restart_router)
+        return await rolling.Rolling(run, place, kept, say).run()
 
     def say(text: str) -> None:
         _json({"said": text}) if as_json else typer.echo(text)
--- a/lifthead/daemon/host.py
+++ b/lifthead/daemon/host.py
@@ -210,25 +210,31 @@
         self.empty.clear()
         self.gauges.taken(asked.group)
         reply.left = lambda: self._left(hand)
+        self._tell(hand, asked.budget, asked.prompt, asked.max_out)
+        await reply.finished.wait()
+        self._forget(hand)
+
+    def _tell(self, hand: InHand, budget: int, prompt: int, max_out: int) -> None:
+        """Has the module place a leg of the req; wake-ups that it asks for meanwhile are the req's."""
+        asked = hand.asked
         self._taking = hand
         self.router.on_req(
             Demand(
-                req_id,
+                hand.id,
                 asked.group,
                 asked.tenant,
-                asked.budget,
-                asked.prompt,
-                asked.max_out,
+                budget,
+                prompt,
+                max_out,
                 asked.session,
                 asked.beginning,
                 asked.beginning_len,
                 0,
-                asked.again,
+                asked.again or hand.legs > 0,
+                *hand.ran,
             )
         )
         self._taking = None
-        await reply.finished.wait()
-        self._forget(hand)
 
     def _left(self, hand: InHand) -> None:
         """The client went away: what is out for it is called off, what is held is let go of."""
@@ -583,26 +589,7 @@
             hand.body = continuation(asked.body, hand.written)
             self.gauges.read_anew.inc(broken.to_read)
             hand.read_anew += broken.to_read
-            engine, ran_at = hand.ran
-            self._taking = hand
-            self.router.on_req(
-                Demand(
-                    hand.id,
-                    asked.group,
-                    asked.tenant,
-                    self.rescue.budget(broken, at),
-                    broken.to_read,
-                    broken.left,
-                    asked.session,
-                    asked.beginning,
-                    asked.beginning_len,
-                    0,
-                    True,
-                    engine,
-                    ran_at,
-                )
-            )
-            self._taking = None
+            self._tell(hand, self.rescue.budget(broken, at), broken.to_read, broken.left)
 
     def _as_broken(self, hand: InHand, out: Out) -> Broken:
         asked, written = hand.asked, hand.written.settle()
--- a/lifthead/daemon/serve.py
+++ b/lifthead/daemon/serve.py
@@ -36,12 +36,13 @@
 from lifthead.members.drains import Drains, SelectorError, Word, chosen
 from lifthead.members.handover import Predecessor, offer
 from lifthead.members.roster import Outcome, Roster
-from lifthead.members.store import Store
+from lifthead.members.store import Store, replace_file
 from lifthead.members.view import View
 from lifthead.members.weight import Weight, wish
 
 BACKLOG = 4096
 LAG_EVERY = 0.05
+NO_FILE = {"error": "this router follows no file of engines, expected --engines FILE at its start"}
 READY_WITHIN = 20.0  # seconds for a new process that takes a running one's sockets
 
 
@@ -129,11 +130,9 @@
                 self.tell_changes()
             if self._list_changed:
                 self._list_changed = False
-                engines = list(self.view.engines_of("push"))
+                engines = self.view.engines_of("push")
                 with contextlib.suppress(OSError):  # a full disk must not end a router that serves
-                    part = self._list_file.with_suffix(".part")
-                    part.write_bytes(msgspec.json.encode(last.Last(engines, wall)))
-                    part.replace(self._list_file)
+                    replace_file(self._list_file, msgspec.json.encode(last.Last(engines, wall)))
 
     def on_source(self, source: str, engines: list[ListedEngine], whole: bool) -> None:
         """A source spoke: what of it changes the view is told to the module."""
@@ -246,6 +245,7 @@
             "zone": self.spec.zone,
             "pid": os.getpid(),
             "state": condition.word,
+            "ready": condition.ready,
             "why": condition.why,
             "reqs": len(self.host.in_hand),
             "lately": {"ended": ended, "pushed_back": pushed_back, "missed": missed},
@@ -263,7 +263,7 @@
 
     def _apply(self, question: dict[str, Any]) -> dict[str, Any]:
         if self.roster is None:
-            return {"error": "this router follows no file of engines, expected --engines FILE at its start"}
+            return NO_FILE
         if "text" in question:
             outcome = self.roster.offer(str(question["text"]), "engines", str(question.get("confirm", "")))
         else:
@@ -272,7 +272,7 @@
 
     def _rollback(self, question: dict[str, Any]) -> dict[str, Any]:
         if self.roster is None:
-            return {"error": "this router follows no file of engines, expected --engines FILE at its start"}
+            return NO_FILE
         return self._outcome(self.roster.rollback(int(question.get("to", 0))))
 
     def _drain_engines(self, question: dict[str, Any]) -> dict[str, Any]:
@@ -289,9 +289,7 @@
                 else:
                     limit = int(question.get("limit", 0))
                     self.drains.drain(names, wall + limit if limit else 0, self.view, now())
-                part = self._drains_file.with_suffix(".part")
-                part.write_bytes(msgspec.json.encode(self.drains.word))
-                part.replace(self._drains_file)
+                replace_file(self._drains_file, msgspec.json.encode(self.drains.word))
                 self.log.info("drain engines", engines=names, undo=bool(question.get("undo")))
                 self.tell_changes()
         except (SelectorError, OSError) as problem:
--- a/lifthead/members/roll.py
+++ b/lifthead/members/roll.py
@@ -35,6 +35,10 @@
     since: int = 0  # wall clock, microseconds
     life: int = 0  # of a router: the process that is to be replaced
 
+    @property
+    def under_way(self) -> bool:
+        return self.stage not in ("waiting", "done")
+
 
 class EngineSeen(msgspec.Struct):
     """An engine as all routers that answer see it together."""
@@ -125,11 +129,12 @@
         """A look, a few times a second: each one under way goes on, then a next one may begin."""
         self._begun = self._begun or now
         for step in self.steps:
-            if step.stage not in ("waiting", "done"):
+            if step.under_way:
                 self._router(step, facts, now) if step.router else self._engine(step, facts, now)
         why = self.failed or self._wait(facts)
-        for step in [step for step in self.steps if step.stage == "waiting" and not why]:
-            under_way = [each.name for each in self.steps if each.stage not in ("waiting", "done")]
+        waiting = [step for step in self.steps if step.stage == "waiting"]
+        for step in waiting if not why else ():
+            under_way = [each.name for each in self.steps if each.under_way]
             if len(under_way) >= (1 if step.router else self.plan.at_once):
                 break
             blocked = self._blocked(step, set(under_way), facts)
@@ -137,7 +142,7 @@
                 step.life = facts.routers[step.name].life if step.router else 0
                 self._reach(step, "draining", now)
                 self.host.drain(step)
-            elif not under_way and step.name == self._next():
+            elif not under_way and step is waiting[0]:
                 why = blocked
         if why != self.paused:
             self.paused = why
@@ -157,10 +162,8 @@
         if seen and seen.open and step.stage in ("draining", "restarting", "returning"):
             self.host.drain(step)  # a router that was away when it was asked, or was started since
             return
-        if step.stage == "draining":
-            overdue = self.plan.limit and waited > self.plan.limit + OVERDUE
-            if seen is None or not seen.out or overdue:
-                self._reach(step, "restarting", now)
+        if step.stage == "draining" and (seen is None or not seen.out or self._overdue(waited)):
+            self._reach(step, "restarting", now)
         if step.stage == "restarting":
             self._restart(step)
         elif step.stage == "returning":
@@ -178,8 +181,7 @@
     def _router(self, step: Step, facts: Facts, now: int) -> None:
         seen, waited = facts.routers.get(step.name), now - max(step.since, self._begun)
         if step.stage == "draining":
-            overdue = self.plan.limit and waited > self.plan.limit + OVERDUE
-            if seen is None or seen.life != step.life or not seen.reqs or overdue:
+            if seen is None or seen.life != step.life or not seen.reqs or self._overdue(waited):
                 self._reach(step, "restarting", now)
             elif seen.ready:
                 self.host.drain(step)
@@ -191,6 +193,9 @@
             elif waited > self.plan.back_within:
                 self._fail(f"router {step.name} is not back after {waited / 1e6:.0f} s")
 
+    def _overdue(self, waited: int) -> bool:
+        return self.plan.limit > 0 and waited > self.plan.limit + OVERDUE
+
     def _wait(self, facts: Facts) -> str:
         """Why nothing new is begun now, with hysteresis; "" if it may be."""
         over = self.plan.pause_over * (AGAIN_UNDER if self.paused else 1.0)
@@ -198,9 +203,6 @@
             return "targets are missed"
         return "" if facts.routers else "no router answers"
 
-    def _next(self) -> str:
-        return next(step.name for step in self.steps if step.stage == "waiting")
-
     def _blocked(self, step: Step, away: set[str], facts: Facts) -> str:
         """Why this one may not be begun now, "" if it may."""
         if step.router:
--- a/lifthead/members/rolling.py
+++ b/lifthead/members/rolling.py
@@ -6,7 +6,7 @@
 import os
 import shlex
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from pathlib import Path
 from typing import Any, Self
 
@@ -14,6 +14,7 @@
 
 from lifthead.fleet import admin
 from lifthead.members.roll import EngineSeen, Facts, Plan, Roll, RouterSeen, Step
+from lifthead.members.store import replace_file
 
 LOOK_EVERY = 0.25  # seconds
 ANSWER_WITHIN = 2.0
@@ -64,12 +65,7 @@
             return None
 
     def write(self, kept: Kept) -> None:
-        part = self.path.with_suffix(".part")
-        with open(part, "wb") as file:
-            file.write(msgspec.json.encode(kept))
-            file.flush()
-            os.fsync(file.fileno())
-        part.replace(self.path)
+        replace_file(self.path, msgspec.json.encode(kept), sync=True)
 
     def forget(self) -> None:
         self.path.unlink(missing_ok=True)
@@ -97,6 +93,54 @@
     return f"the restart's command ended with {process.returncode}: {told[0]}"
 
 
+class Lookout:
+    """What the routers of a run directory tell of the fleet."""
+
+    def __init__(self, run: Path) -> None:
+        self._run = run
+        self.places: dict[str, set[tuple[str, str]]] = {}  # an engine's zone, cell and kind
+        self._addresses: dict[str, str] = {}
+
+    async def facts(self, returning: Collection[str] = ()) -> Facts:
+        """All routers' views together: ready where all say so, what is out at any of them. Whether engines
+        take connections is looked at for those that return."""
+        paths = admin.sockets(self._run)
+        states, views = await asyncio.gather(
+            admin.ask_all(paths, {"ask": "state"}, ANSWER_WITHIN),
+            admin.ask_all(paths, {"ask": "engines"}, ANSWER_WITHIN),
+        )
+        found = Facts({}, {})
+        for name, state in states.items():
+            if state:
+                found.routers[name] = RouterSeen(state["ready"], state["reqs"], state["pid"])
+                found.ended += state["lately"]["ended"]
+                found.missed += state["lately"]["missed"]
+        for rows in views.values():
+            for row in rows or ():
+                seen = found.engines.setdefault(
+                    row["name"], EngineSeen(row["role"], row["zone"], row["weight"], ready=True, open=False)
+                )
+                well = row["readiness"] == "ready"
+                seen.ready = seen.ready and well and not row["cold"] and not row["suspect"]
+                seen.open, seen.out = seen.open or well, seen.out + row["out"]
+                seen.drained = seen.drained or row["readiness"] == "draining"
+                self._addresses[row["name"]] = row["address"]
+                self.places[row["name"]] = {(key, str(row[key])) for key in ("zone", "cell", "kind")}
+        for name in returning:
+            if name in found.engines:
+                found.engines[name].up = await self._up(name)
+        return found
+
+    async def _up(self, name: str) -> bool:
+        host, _, port = self._addresses[name].rpartition(":")
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(UP_WITHIN):
+                _, writer = await asyncio.open_connection(host, int(port))
+                writer.close()
+                return True
+        return False
+
+
 class Rolling:
     """Carries a roll out until it is over or has failed."""
 
@@ -105,9 +149,8 @@
         self._run, self._place, self._kept = run, place, kept
         self.say = say
         self._command = restart or self._shell
-        self.places: dict[str, set[tuple[str, str]]] = {}  # an engine's zone, cell and kind
-        self._addresses: dict[str, str] = {}
-        self._asks: list[dict[str, Any]] = []
+        self._lookout = Lookout(run)
+        self._asks: list[tuple[str, dict[str, Any]]] = []  # a router, "" for all, and what it is asked
         self._tasks: set[asyncio.Task] = set()
         self.roll = Roll(self, kept.plan, kept.steps)
 
@@ -123,14 +166,15 @@
 
     def drain(self, step: Step) -> None:
         if step.router:
-            self._asks.append({"to": step.name, "ask": "drain"})
+            self._asks.append((step.name, {"ask": "drain"}))
         else:
             limit = self._kept.plan.limit
-            self._asks.append({"ask": "drain engines", "selector": step.name, "limit": limit, "force": True})
+            question = {"ask": "drain engines", "selector": step.name, "limit": limit, "force": True}
+            self._asks.append(("", question))
 
     def release(self, step: Step) -> None:
         question = {"ask": "drain engines", "selector": step.name, "undo": True, "started_at": step.since}
-        self._asks.append(question)
+        self._asks.append(("", question))
 
     def restart(self, step: Step) -> None:
         task = asyncio.get_running_loop().create_task(self._restart(step))
@@ -140,59 +184,16 @@
     async def _restart(self, step: Step) -> None:
         self.roll.on_restarted(step.name, await self._command(step), wall())
 
-    # What it looks at.
-
-    async def facts(self) -> Facts:
-        """All routers' views together: ready where all say so, what is out at any of them."""
-        paths = admin.sockets(self._run)
-        states, views = await asyncio.gather(
-            admin.ask_all(paths, {"ask": "state"}, ANSWER_WITHIN),
-            admin.ask_all(paths, {"ask": "engines"}, ANSWER_WITHIN),
-        )
-        found = Facts({}, {})
-        for name, state in states.items():
-            if state:
-                found.routers[name] = RouterSeen(
-                    state["state"].split()[0] in ("ready", "up"), state["reqs"], state["pid"]
-                )
-                found.ended += state["lately"]["ended"]
-                found.missed += state["lately"]["missed"]
-        for rows in views.values():
-            for row in rows or ():
-                seen = found.engines.setdefault(
-                    row["name"], EngineSeen(row["role"], row["zone"], row["weight"], ready=True, open=False)
-                )
-                well = row["readiness"] == "ready"
-                seen.ready = seen.ready and well and not row["cold"] and not row["suspect"]
-                seen.open, seen.out = seen.open or well, seen.out + row["out"]
-                seen.drained = seen.drained or row["readiness"] == "draining"
-                self._addresses[row["name"]] = row["address"]
-                self.places[row["name"]] = {(key, str(row[key])) for key in ("zone", "cell", "kind")}
-        for step in self.roll.steps:
-            if step.stage == "returning" and step.name in found.engines:
-                found.engines[step.name].up = await self._up(step.name)
-        return found
-
-    async def _up(self, name: str) -> bool:
-        host, _, port = self._addresses[name].rpartition(":")
-        with contextlib.suppress(OSError, TimeoutError):
-            async with asyncio.timeout(UP_WITHIN):
-                _, writer = await asyncio.open_connection(host, int(port))
-                writer.close()
-                return True
-        return False
-
     async def run(self) -> str:
         """Until all is done, "", or it can't go on: why. Commands under way are waited for."""
         while not self.roll.over and not self.roll.failed:
-            self.roll.look(await self.facts(), wall())
+            returning = [step.name for step in self.roll.steps if step.stage == "returning"]
+            self.roll.look(await self._lookout.facts(returning), wall())
             asks, self._asks = self._asks, []
-            for question in asks:
+            for to, question in asks:
                 paths = admin.sockets(self._run)
-                to = question.pop("to", None)
-                await admin.ask_all(
-                    {to: paths[to]} if to in paths else {} if to else paths, question, ANSWER_WITHIN
-                )
+                asked = {name: path for name, path in paths.items() if to in ("", name)}
+                await admin.ask_all(asked, question, ANSWER_WITHIN)
             await asyncio.sleep(LOOK_EVERY)
         if self._tasks:
             await asyncio.wait(self._tasks)
--- a/lifthead/members/store.py
+++ b/lifthead/members/store.py
@@ -1,5 +1,8 @@
 """Generations of a file's listing on a disk, so that a restart begins with the last good one."""
 
+import os
+from pathlib import Path
+
 import msgspec
 
 from lifthead.deployment.fleet import EngineSpec
@@ -9,6 +12,17 @@
 KEPT = 10
 
 
+def replace_file(path: Path, data: bytes, sync: bool = False) -> None:
+    """Whole or not at all, as readers see it; with `sync` also after a loss of power."""
+    part = path.with_suffix(".part")
+    with open(part, "wb") as file:
+        file.write(data)
+        if sync:
+            file.flush()
+            os.fsync(file.fileno())
+    part.replace(path)
+
+
 class Store:
     """Numbered generations; the highest that can be read is the one in use."""
 
