--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -218,7 +218,7 @@
     def on_req(self, demand: Demand) -> None:
         now = self.host.now()
         group = self.groups[demand.group]
-        target = group.target + group.target_per_1000 * demand.prompt // 1000
+        target = group.target_of(demand.prompt)
         wanted_in = min(target, demand.budget)  # what a client won't wait for is not begun
         req = Req(demand, group, group.effect, demand.prompt, now + demand.budget, target, wanted_in)
         req.over_share = self._over_share(demand.tenant, now)
--- a/lifthead/daemon/host.py
+++ b/lifthead/daemon/host.py
@@ -681,8 +681,7 @@
         hand.ended = ended
         hand.ended_at = now()
         self.gauges.ended(hand.asked.group, ended)
-        group = self._groups[hand.asked.group]
-        target = group.target + group.target_per_1000 * hand.asked.prompt // 1000
+        target = self._groups[hand.asked.group].target_of(hand.asked.prompt)
         late = hand.asked.streamed and hand.first_at - hand.taken_at > target
         if ended != "left":
             self.lately.add(now(), ended == "pushed back", ended != "done" or late)
--- a/lifthead/interface.py
+++ b/lifthead/interface.py
@@ -44,6 +44,10 @@
     importance: float
     late_share: float  # part of the importance that a late answer still earns
 
+    def target_of(self, prompt: int) -> int:
+        """Response target of a prompt of so many tokens, microseconds."""
+        return self.target + self.target_per_1000 * prompt // 1000
+
 
 @dataclass(frozen=True, slots=True)
 class Tenant:
