--- a/lifthead/lab/fit.py
+++ b/lifthead/lab/fit.py
@@ -5,13 +5,10 @@
 real day are set beside those of the same day emulated."""
 
 import statistics
-import tempfile
-from pathlib import Path
 
 from lifthead.deployment.fleet import Fleet
 from lifthead.lab.engine import Overheads
-from lifthead.lab.world import World
-from lifthead.standins import verify
+from lifthead.lab.world import watched
 from lifthead.standins.verify import Traffic
 
 ROUNDS = 3
@@ -35,21 +32,15 @@
     return {key: statistics.median(values) for key, values in found.items()}
 
 
-def emulated(fleet: Fleet, seed: int, overheads: Overheads) -> Traffic:
-    with tempfile.TemporaryDirectory() as directory:
-        World(fleet, seed, Path(directory), overheads=overheads).run()
-        return verify.read(Path(directory))
-
-
 def fit(real: Traffic, fleet: Fleet, seed: int) -> tuple[Overheads, dict[str, float]]:
     """Overheads with which the emulated day's medians are the real one's, and the error that is left, as a
     part of each real median."""
     wanted, overheads = parts(real), Overheads(0, 0, 0)
     for _ in range(ROUNDS):
-        found = parts(emulated(fleet, seed, overheads))
+        found = parts(watched(fleet, seed, overheads=overheads)[1])
         off = {key: wanted[key] - found[key] for key in ("own", "engine", "first")}
         overheads = Overheads(**{
             key: max(round(getattr(overheads, key) + each), 0) for key, each in off.items()
         })  # fmt: skip
-    found = parts(emulated(fleet, seed, overheads))
+    found = parts(watched(fleet, seed, overheads=overheads)[1])
     return overheads, {key: found[key] / wanted[key] - 1 for key in wanted}
--- a/lifthead/lab/search.py
+++ b/lifthead/lab/search.py
@@ -4,7 +4,6 @@
 sockets, or if its service is under the bound."""
 
 import random
-import tempfile
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -17,7 +16,7 @@
 from lifthead.deployment.durations import Micros
 from lifthead.deployment.fleet import Fleet, Trouble
 from lifthead.lab.run import Variant
-from lifthead.lab.world import World
+from lifthead.lab.world import watched
 from lifthead.standins import verify
 
 AT_ENGINES = ["crash", "vanish", "silent", "slow", "reset", "lost", "full", "flush", "garbage", "drain"]
@@ -82,10 +81,8 @@
     assert fleet.crowd
     crowd = msgspec.structs.replace(fleet.crowd, length=Micros(length))
     day = msgspec.structs.replace(fleet, crowd=crowd, troubles=troubles)
-    with tempfile.TemporaryDirectory() as directory:
-        summary = World(day, seed, Path(directory), variant.decide()).run()
-        found = verify.breaches(verify.read(Path(directory)))
-    return summary["service"], [f"rule {breach.rule}: {breach.why}" for breach in found]
+    summary, traffic = watched(day, seed, variant.decide())
+    return summary["service"], [f"rule {breach.rule}: {breach.why}" for breach in verify.breaches(traffic)]
 
 
 def search(variant: Variant, bounds: Bounds, tries: int, seed: int) -> Found | int:
--- a/lifthead/lab/world.py
+++ b/lifthead/lab/world.py
@@ -1,6 +1,7 @@
 """A whole fleet in simulated time: engines, routers, the list, clients and the day's troubles."""
 
 import random
+import tempfile
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -15,14 +16,13 @@
 from lifthead.lab.engine import Engine, Overheads
 from lifthead.lab.router import HOP, NOTICED, Router
 from lifthead.lab.tally import Tally
+from lifthead.standins import verify
 from lifthead.standins.engine import Fault
 from lifthead.standins.record import facts
 
 AT_ENGINES = ("silent", "slow", "reset", "lost", "full", "flush", "garbage", "link_slow")
 RESTART = 700_000  # microseconds that a process takes to start
 NOT_PLAYED = ("overlap", "roll", "naive_roll")  # what lies in bytes, or is an operator's tool
-
-
 USUAL = Overheads()
 
 
@@ -212,3 +212,15 @@
         }[trouble.what]
         self.crowd.trends.append(trend)
         self.clock.after(trouble.lasts, self.crowd.trends.remove, trend)
+
+
+def watched(
+    fleet: Fleet,
+    seed: int,
+    decide: Callable[..., control.Router] = control.Router,
+    overheads: Overheads = USUAL,
+) -> tuple[dict[str, Any], verify.Traffic]:
+    """A day's summary, and its traffic as the checker of real days reads it."""
+    with tempfile.TemporaryDirectory() as directory:
+        summary = World(fleet, seed, Path(directory), decide, overheads).run()
+        return summary, verify.read(Path(directory))
