lifthead.node: a router on the users' platform's protocol, same decisions

New package lifthead/node/: the platform's messages in and out, discovery's watch, one host that calls control.Router. The settings are read by one reader (lifthead/terms.py) for the simulator's first message and the node's configuration. http1, engines/link and chat/server are widened: answers that only announce others, bytes behind an answer, bounds on chunks, connections told apart that broke before the last byte was written, an accept loop that stays within few descriptors.

--- a/lifthead/chat/server.py
+++ b/lifthead/chat/server.py
@@ -2,19 +2,33 @@
 
 import asyncio
 import contextlib
+import socket
 from collections.abc import Awaitable, Callable
+from typing import Protocol
 
 from lifthead import http1
-from lifthead.chat import codec
-from lifthead.deployment.fleet import Limits
 from lifthead.http1 import Headers, HttpError, Message
 
 READ = 65_536
 LINGER = 1.0  # seconds
+LINGER_BYTES = 1 << 20  # of a peer that goes on sending what is not taken
+ACCEPT_AGAIN = 0.02  # seconds, while no descriptor is to be had
+SILENT_FOR = 0.1  # seconds after which a connection without a byte gives way to a new one
 FIRST_WITHIN = 1.0  # seconds for the first req of a connection that was accepted before a stop
 JSON = {"content-type": "application/json"}
 
 
+class Bounds(Protocol):
+    """What clients may send and hold: bytes, microseconds, and a count of connections."""
+
+    header_bytes: int
+    body_bytes: int
+    header_within: int
+    body_within: int
+    idle_for: int
+    connections: int
+
+
 class Reply:
     """One answer on a connection. `left` is called if the client goes away before it is over."""
 
@@ -36,8 +50,8 @@
         self._put(http1.answer_head(status, fields) + body)
         self.finished.set()
 
-    def begin(self, headers: Headers) -> None:
-        """The head of a stream of events."""
+    def begin(self, headers: Headers, data: bytes = b"") -> None:
+        """The head of a stream of events, and its first."""
         self.begun = True
         kept = "keep-alive" if self.keep_alive else "close"
         self._put(
@@ -51,8 +65,14 @@
                     "connection": kept,
                 },
             )
+            + (http1.chunk(data) if data else b"")
         )
 
+    def cut(self) -> None:
+        """The end of a begun stream that is not whole: the connection closes without a last chunk."""
+        self.drop()
+        self._writer.close()
+
     def send(self, data: bytes) -> bool:
         """Events of a begun stream; False if the client is the slower one and `room` must be awaited."""
         if not self.over:
@@ -88,19 +108,75 @@
 
 
 class Clients:
-    """Accepts connections and hands each whole req to `serve`, one at a time for a connection."""
+    """Accepts connections and hands each whole req to `serve`, one at a time for a connection.
+
+    `error` words an answer to what can't be read. `first_within`: seconds from the accepting of a connection
+    to its first whole req, for services that owe silent clients a close.
+    """
 
-    def __init__(self, limits: Limits, serve: Callable[[Message, Reply], Awaitable[None]]) -> None:
-        self._limits = limits
+    def __init__(
+        self,
+        limits: Bounds,
+        serve: Callable[[Message, Reply], Awaitable[None]],
+        error: Callable[[int, str, str], bytes],
+        first_within: float | None = None,
+    ) -> None:
+        self.limits = limits
         self._serve = serve
+        self._error = error
+        self._first_within = first_within
         self._open: set[asyncio.StreamWriter] = set()
-        self._idle: set[asyncio.StreamWriter] = set()
-        self._fresh: set[asyncio.StreamWriter] = set()  # idle, and no req has come on them yet
+        # Those without an open req, longest first, and since when.
+        self._idle: dict[asyncio.StreamWriter, float] = {}
+        self._fresh: dict[asyncio.StreamWriter, float] = {}  # no req has come on them yet
+        self._entering = 0
         self.stopping = False
 
     @property
     def connections(self) -> int:
-        return len(self._open)
+        return len(self._open) + self._entering
+
+    async def accept(self, listener: socket.socket, tasks: asyncio.TaskGroup) -> None:
+        """Takes connections one by one, for services with few descriptors: never more than may be open. When
+        all are in use, one that is idle gives way; else new ones wait where the system keeps them."""
+        loop = asyncio.get_running_loop()
+        while True:
+            if self.connections >= self.limits.connections and not self._make_room():
+                await asyncio.sleep(ACCEPT_AGAIN)
+                continue
+            try:
+                connected, _ = await loop.sock_accept(listener)
+            except OSError:  # no descriptor is left, or the peer has gone again
+                await asyncio.sleep(ACCEPT_AGAIN)
+                continue
+            self._entering += 1
+            tasks.create_task(self._enter(connected))
+
+    async def _enter(self, connected: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        reader = asyncio.StreamReader(limit=READ, loop=loop)
+        protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+        try:
+            transport, _ = await loop.connect_accepted_socket(lambda: protocol, connected)
+        except OSError:
+            connected.close()
+            return
+        finally:
+            self._entering -= 1
+        await self.connection(reader, asyncio.StreamWriter(transport, protocol, reader, loop))
+
+    def _make_room(self) -> bool:
+        """Closes the connection that has waited longest without an open req: silent ones first, which sent
+        nothing yet. Those that were accepted just now are spared: their bytes are on their way."""
+        now = asyncio.get_running_loop().time()
+        for waiting in (self._fresh, self._idle):
+            writer, since = next(iter(waiting.items()), (None, now))
+            if writer and now - since > SILENT_FOR:
+                del waiting[writer]
+                self._open.discard(writer)
+                writer.transport.abort()
+                return True
+        return False
 
     def stop(self) -> None:
         """Idle connections close now, the others after the answer that they are at. A new one has a moment
@@ -114,8 +190,13 @@
         for writer in list(self._fresh):
             writer.close()
 
+    async def closed(self) -> None:
+        """Returns once no connection is open."""
+        while self.connections:
+            await asyncio.sleep(ACCEPT_AGAIN)
+
     async def connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if len(self._open) >= self._limits.connections:
+        if len(self._open) >= self.limits.connections:
             writer.close()  # guards against a flood of connections: what is open goes on
             return
         writer.transport.set_write_buffer_limits(high=READ)
@@ -125,45 +206,50 @@
         except (ConnectionError, TimeoutError):
             pass
         finally:
-            self._open.discard(writer)
-            with contextlib.suppress(Exception):
-                writer.close()
+            try:
+                async with asyncio.timeout(LINGER):
+                    writer.close()
+                    await writer.wait_closed()
+            except (TimeoutError, OSError):  # it takes nothing: its descriptor is wanted
+                writer.transport.abort()
+            finally:
+                self._open.discard(writer)
 
     async def _talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        parser = http1.ReqParser(self._limits.header_bytes, self._limits.body_bytes)
+        parser = http1.ReqParser(self.limits.header_bytes, self.limits.body_bytes)
         idle = self._fresh
         while not self.stopping or idle is self._fresh:
             try:
                 message = await self._next(reader, writer, parser, idle)
                 idle = self._idle
             except HttpError as problem:
-                Reply(writer, False).whole(
-                    problem.status, codec.error(problem.status, "bad_http", problem.said)
-                )
+                said = self._error(problem.status, "bad_http", problem.said)
+                Reply(writer, False).whole(problem.status, said)
                 await self._linger(reader, writer)
                 return
             if message is None:
                 return
-            reply = Reply(writer, message.keep_alive and not self.stopping, self._limits.body_within / 1e6)
+            reply = Reply(writer, message.keep_alive and not self.stopping, self.limits.body_within / 1e6)
             async with asyncio.TaskGroup() as tasks:
                 watch = tasks.create_task(self._watch(reader, parser, reply))
                 await self._serve(message, reply)
                 watch.cancel()
             if not reply.keep_alive:
                 return
-            await writer.drain()
+            await reply.room()
 
     async def _next(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         parser: http1.ReqParser,
-        idle: set[asyncio.StreamWriter],
+        idle: dict[asyncio.StreamWriter, float],
     ) -> Message | None:
         """The next whole req; None if the client is done. Guards against slow senders: a head and a body
         each have their time."""
-        limits, since, in_head = self._limits, None, True
+        limits, since, in_head = self.limits, None, True
         loop = asyncio.get_running_loop()
+        at_all = loop.time() + (self._first_within or limits.idle_for / 1e6)
         while not parser.ready:
             if parser.partial:
                 if since is None or in_head != parser.in_head:
@@ -171,7 +257,9 @@
                 until = since + (limits.header_within if in_head else limits.body_within) / 1e6
             else:
                 until = loop.time() + limits.idle_for / 1e6
-                idle.add(writer)
+                idle[writer] = loop.time()
+            if idle is self._fresh and self._first_within:
+                until = min(until, at_all)
             try:
                 async with asyncio.timeout_at(until):
                     data = await reader.read(READ)
@@ -180,7 +268,7 @@
                     raise HttpError(408, "the req did not come in time") from None
                 return None
             finally:
-                idle.discard(writer)
+                idle.pop(writer, None)
             if not data:
                 return None
             parser.feed(data)
@@ -189,12 +277,13 @@
     async def _linger(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Closes only once the peer has had time to read why: with bytes of its own still unread, an answer
         would be lost to a reset."""
+        left = LINGER_BYTES
         with contextlib.suppress(OSError, TimeoutError):
             async with asyncio.timeout(LINGER):
                 await writer.drain()
                 writer.write_eof()
-                while await reader.read(READ):
-                    pass
+                while left > 0 and (data := await reader.read(READ)):
+                    left -= len(data)
 
     async def _watch(self, reader: asyncio.StreamReader, parser: http1.ReqParser, reply: Reply) -> None:
         """Sees at once that the client left. What it sends early is parsed, up to the body's bound; a client
--- a/lifthead/daemon/serve.py
+++ b/lifthead/daemon/serve.py
@@ -81,7 +81,7 @@
         if self._drains_file.exists():  # what an operator drained stays so over a restart
             self.drains.word = msgspec.json.decode(self._drains_file.read_bytes(), type=Word)
         self.host = Host(name, start, fleet.limits, tasks, self.gauges, log, grace, resumes, bill, decide)
-        self.clients = Clients(fleet.limits, self.answer)
+        self.clients = Clients(fleet.limits, self.answer, codec.error)
         self.stopping = asyncio.Event()
         self.refusing = self.drained = self.handed = False
         self._list_file, self._list_changed = run_dir / f"list-{name}.json", False
--- a/lifthead/engines/link.py
+++ b/lifthead/engines/link.py
@@ -11,18 +11,45 @@
 IDLE_FOR = 10.0  # seconds; engines commonly close later
 
 
+class UnwrittenError(ConnectionError):
+    """The connection broke before the last byte of what was to be sent was written."""
+
+
+class Inflow(asyncio.StreamReader):
+    """A stream that counts what came, so that bytes which nobody asked for can be told."""
+
+    came = 0
+
+    def feed_data(self, data: bytes) -> None:
+        self.came += len(data)
+        super().feed_data(data)
+
+
 class Connection:
     """One connection and the answer that is read from it."""
 
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    def __init__(self, reader: Inflow, writer: asyncio.StreamWriter, bounds: tuple[int, ...] = ()) -> None:
         self.reader, self.writer = reader, writer
-        self.parser = http1.AnswerParser()
+        self._bounds = bounds  # of a head and of a chunk, bytes
+        self._taken = 0
+        self.parser = http1.AnswerParser(*bounds)
         self.idle_since = 0.0
+        self.used = False  # an answer came on it before
 
     async def send(self, data: bytes) -> None:
-        self.parser = http1.AnswerParser()
+        """Writes it; UnwrittenError if the connection broke before the last byte was written."""
+        self.parser = http1.AnswerParser(*self._bounds)
         self.writer.write(data)
-        await self.writer.drain()
+        while self.writer.transport.get_write_buffer_size() and not self.writer.transport.is_closing():
+            await self.writer.drain()
+            await asyncio.sleep(0.001)  # the rest waits for the peer to take it
+        if self.writer.transport.is_closing():
+            raise UnwrittenError("broke while it was written to")
+
+    async def _read(self) -> bytes:
+        data = await self.reader.read(READ)
+        self._taken += len(data)
+        return data
 
     async def more(self) -> bytes:
         """Body bytes as they come, b"" at the end of the answer. ConnectionError if it ends before that."""
@@ -30,14 +57,14 @@
             body = self.parser.body()
             if body or self.parser.complete:
                 return body
-            data = await self.reader.read(READ)
+            data = await self._read()
             if not data:
                 raise ConnectionResetError("ended too early")
             self.parser.feed(data)
 
     async def head(self) -> Message:
         while self.parser.head is None:
-            data = await self.reader.read(READ)
+            data = await self._read()
             if not data:
                 raise ConnectionResetError("ended before an answer")
             self.parser.feed(data)
@@ -55,8 +82,16 @@
 
     @property
     def reusable(self) -> bool:
-        head = self.parser.head
-        return self.parser.complete and head is not None and head.keep_alive and not self.reader.at_eof()
+        """Whether the next forward may go on it: the answer is whole, and nothing but it has come."""
+        parser, head = self.parser, self.parser.head
+        whole = parser.complete and not parser.surplus and head is not None and head.keep_alive
+        return whole and self.quiet
+
+    @property
+    def quiet(self) -> bool:
+        """Open at both ends, and without bytes that nobody asked for."""
+        open_ = not (self.writer.transport.is_closing() or self.reader.at_eof())
+        return open_ and self.reader.came == self._taken
 
     def abort(self) -> None:
         self.writer.transport.abort()
@@ -65,8 +100,12 @@
 class Link:
     """The way to one engine."""
 
-    def __init__(self, address: str, connect_within: float) -> None:
+    def __init__(
+        self, address: str, connect_within: float, idle_for: float = IDLE_FOR, bounds: tuple[int, ...] = ()
+    ) -> None:
         self.address = address
+        self._idle_for = idle_for
+        self._bounds = bounds
         self._host, _, port = address.rpartition(":")
         self._port = int(port)
         self._connect_within = connect_within
@@ -78,17 +117,42 @@
         now = asyncio.get_running_loop().time()
         while self._idle and not fresh:
             connection = self._idle.pop()
-            closing = connection.writer.transport.is_closing() or connection.reader.at_eof()
-            if not closing and now - connection.idle_since < IDLE_FOR:
+            if connection.quiet and now - connection.idle_since < self._idle_for:
                 return connection
             connection.abort()
+        loop = asyncio.get_running_loop()
+        reader = Inflow(limit=READ, loop=loop)
         async with asyncio.timeout(self._connect_within):
-            return Connection(*await asyncio.open_connection(self._host, self._port, limit=READ))
+            transport, protocol = await loop.create_connection(
+                lambda: asyncio.StreamReaderProtocol(reader, loop=loop), self._host, self._port
+            )
+        return Connection(reader, asyncio.StreamWriter(transport, protocol, reader, loop), self._bounds)
+
+    def sweep(self) -> None:
+        """Closes what waits unused and could not be used any more: each holds a descriptor."""
+        now = asyncio.get_running_loop().time()
+        for connection in list(self._idle):
+            if not connection.quiet or now - connection.idle_since >= self._idle_for:
+                self._idle.remove(connection)
+                connection.abort()
+
+    @property
+    def idle(self) -> int:
+        return len(self._idle)
+
+    @property
+    def idle_since(self) -> float:
+        """Since when its longest unused connection waits."""
+        return self._idle[0].idle_since if self._idle else float("inf")
+
+    def drop_oldest(self) -> None:
+        if self._idle:
+            self._idle.popleft().abort()
 
     def give(self, connection: Connection) -> None:
         """Back after a whole answer; anything else is closed."""
         if connection.reusable:
-            connection.idle_since = asyncio.get_running_loop().time()
+            connection.idle_since, connection.used = asyncio.get_running_loop().time(), True
             self._idle.append(connection)
         else:
             connection.abort()
--- a/lifthead/http1.py
+++ b/lifthead/http1.py
@@ -12,6 +12,9 @@
 Headers = dict[str, str]  # names in lower case; of a name that stands twice, values joined by commas
 
 
+MOST_ANNOUNCED = 8  # answers of 1xx before the one that was asked for
+
+
 class HttpError(Exception):
     """The peer's bytes can't be used; carries the status to answer with."""
 
@@ -124,25 +127,67 @@
 
 
 class AnswerParser(_Parser):
-    """The client's side: `head` once it is whole, body bytes as they come, `complete` at the end."""
+    """The client's side: `head` once it is whole, body bytes as they come, `complete` at the end. Answers
+    that only announce another (1xx) are passed over; `surplus` tells that bytes came behind the end, which
+    belong to nothing that was asked for."""
 
-    def __init__(self, header_bytes: int = 65_536) -> None:
+    def __init__(self, header_bytes: int = 65_536, chunk_bytes: int = 1 << 30) -> None:
         self._llhttp = httptools.HttpResponseParser(self)
         self.head: Message | None = None
-        self.complete = False
+        self.complete = self.surplus = False
         self._body: list[bytes] = []
+        self._most_chunk, self._chunk_size = chunk_bytes, 0
+        self._announced = 0
         super().__init__(header_bytes, 0)
 
+    def on_message_begin(self) -> None:
+        if self.complete:
+            self.surplus = True
+        else:
+            self._begin()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if not self.surplus:
+            super().on_header(name, value)
+
     def on_headers_complete(self) -> None:
+        if self.surplus:
+            return
         super().on_headers_complete()
         self._now.status = self._llhttp.get_status_code()
-        self.head = self._now
+        if self._now.status >= 200:
+            self.head = self._now
+            return
+        self._announced += 1
+        if self._now.status == 101 or self._announced > MOST_ANNOUNCED:
+            raise HttpError(502, "an answer that only announces others")
+
+    def on_chunk_header(self) -> None:
+        self._chunk_size = 0
 
     def on_body(self, data: bytes) -> None:
+        if self.surplus:
+            return
+        self._chunk_size += len(data)
+        if self._chunk_size > self._most_chunk:
+            raise HttpError(502, f"a chunk is over {self._most_chunk} bytes")
         self._body.append(data)
 
     def on_message_complete(self) -> None:
-        self.complete = True
+        if self.head is not None:
+            self.complete = True
+
+    def feed(self, data: bytes) -> None:
+        """As with any message; what follows a whole answer is marked and never an error."""
+        if self.complete:
+            self.surplus = True
+            return
+        try:
+            super().feed(data)
+        except HttpError:
+            if not self.complete:
+                raise
+            self.surplus = True
 
     def body(self) -> bytes:
         """What has come of the body since the last call."""
--- /dev/null
+++ b/lifthead/node/host.py
@@ -0,0 +1,382 @@
+"""The one caller of control.Router in the node: news from sockets becomes calls, its calls become tasks.
+
+Boundaries kept here:
+- the module's calls return at once and its news comes on a later turn of the loop, in order, from one loop;
+- every final answer passes `_answered`, which makes a second one impossible;
+- a forward's connection is closed before its ending is told, so the next forward finds it out no more;
+- deadlines are the module's; a begun stream without a byte for long is cut, and that is logged.
+"""
+
+import asyncio
+import contextlib
+import logging
+import time
+from dataclasses import dataclass, field
+
+from lifthead import control
+from lifthead.chat.server import Reply
+from lifthead.engines.codec import Sight
+from lifthead.engines.link import Connection, Link, UnwrittenError
+from lifthead.http1 import HttpError, Message
+from lifthead.interface import Demand, LoadReport
+from lifthead.node import clients, engines
+from lifthead.node.discovery import News
+from lifthead.node.start import Start
+
+ASK_WITHIN = 0.5  # seconds for a probe; the module is told nothing of a lost one
+RELEASE_WITHIN = 0.12  # seconds for an engine to answer a release before another is asked
+RELEASE_AT = 3  # engines that are asked at most
+SWEEP_EVERY = 0.5  # seconds
+
+log = logging.getLogger(__name__)
+
+
+def now() -> int:
+    return time.monotonic_ns() // 1000
+
+
+@dataclass(slots=True)
+class Out:
+    """A forward that is out."""
+
+    number: int
+    engine: str
+    reading: bool
+    sent_at: int
+    task: asyncio.Task | None = None
+    started: bool = False
+    called_off: bool = False
+
+
+@dataclass(slots=True)
+class InHand:
+    """A req that was taken and whose forwards are not all over."""
+
+    id: int
+    demand: Demand
+    message: Message
+    reply: Reply
+    out: Out | None = None
+    forwards: int = 0
+    may_hold: str = ""  # a reader where its state may wait
+    begun: bool = False
+    ended: str = ""  # "done", "pushed back", "aborted" or "left": exactly one, once
+    timers: list[asyncio.TimerHandle] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Peer:
+    """An engine as the host knows it: how to get there, and since when it may get nothing new."""
+
+    link: Link
+    kind: str
+    readiness: str
+    told_at: int
+    heard_at: int = 0
+
+
+class Host:
+    def __init__(self, start: Start, tasks: asyncio.TaskGroup) -> None:
+        self.in_hand: dict[int, InHand] = {}
+        self.peers: dict[str, Peer] = {}
+        self.empty = asyncio.Event()
+        self.empty.set()
+        self.stopping = False
+        self._start = start
+        self._tasks = tasks
+        self._loop = asyncio.get_running_loop()
+        self._groups = start.deployment.groups
+        self._roles = start.deployment.roles
+        self._open_ids: set[str] = set()
+        self._next = 1
+        self._connections = 0  # to engines, in use
+        self._taking: InHand | None = None
+        self.router = control.Router(self, start.deployment)
+
+    # What comes in.
+
+    def on_news(self, news: News) -> None:
+        """Discovery's word. What is left out of a whole list counts as gone."""
+        at = now()
+        for entry, address in news.entries:
+            known = self.peers.get(entry.engine)
+            if known is None or known.link.address != address:
+                if known:
+                    known.link.close()
+                self.peers[entry.engine] = Peer(self._link(address), entry.kind, entry.readiness, at)
+            elif known.readiness != entry.readiness:
+                known.readiness, known.told_at = entry.readiness, at
+        if news.whole:
+            named = {entry.engine for entry, _ in news.entries}
+            for name, peer in self.peers.items():
+                if name not in named and peer.readiness != "gone":
+                    peer.readiness, peer.told_at = "gone", at
+        self.router.on_engines([entry for entry, _ in news.entries], news.whole)
+
+    def _link(self, address: str) -> Link:
+        idle_for = self._start.idle_close / 1e6 * engines.IDLE_PART
+        bounds = (engines.HEAD_BYTES, engines.PIECE_BYTES)
+        return Link(address, self._start.connect_within / 1e6, idle_for, bounds)
+
+    async def answer(self, message: Message, reply: Reply) -> None:
+        """A client's message, from its last byte to the end of its answer."""
+        if message.path == clients.READY and message.method == "GET":
+            ready = bool(self.peers) and not self.stopping
+            return reply.whole(200 if ready else 503, b"")
+        try:
+            demand = clients.demand_of(message, self._next, self._groups)
+            client_id = message.headers[clients.ID]
+            if client_id in self._open_ids:
+                raise HttpError(409, "a req with this id is open")
+        except HttpError as problem:
+            reply.keep_alive = False
+            return reply.whole(problem.status, clients.error(problem.status, "bad_req", problem.said))
+        self._next += 1
+        hand = InHand(demand.id, demand, message, reply)
+        self.in_hand[hand.id] = hand
+        self._open_ids.add(client_id)
+        self.empty.clear()
+        reply.left = lambda: self._left(hand)
+        self._taking = hand
+        self.router.on_req(demand)
+        self._taking = None
+        await reply.finished.wait()
+        self._forget(hand)
+
+    def _left(self, hand: InHand) -> None:
+        """The client went away: what is out for it is called off, what is held is let go of."""
+        if not self._answered(hand, "left"):
+            return
+        self.router.on_expired(hand.id)
+        if hand.begun and hand.out:
+            self.cancel(hand.id, hand.out.number)  # a stream that nobody reads
+        self._forget(hand)
+
+    # What the module does.
+
+    def now(self) -> int:
+        return now()
+
+    def wake(self, after: int, label: int) -> None:
+        timer = self._loop.call_later(max(after, 0) / 1e6, self.router_wakes, label)
+        if self._taking:  # a wake-up for a req is of no use once the req is over
+            self._taking.timers.append(timer)
+
+    def router_wakes(self, label: int) -> None:
+        self.router.on_wake(label)
+
+    def forward(self, req: int, engine: str, abandon_at: int) -> None:
+        hand = self.in_hand[req]
+        reading = self._roles.get(self.peers[engine].kind, "both") == "read"
+        hand.out = Out(hand.forwards, engine, reading, now())
+        hand.forwards += 1
+        hand.out.task = self._tasks.create_task(self._carry(hand, hand.out, abandon_at))
+
+    def cancel(self, req: int, forward: int) -> None:
+        hand = self.in_hand.get(req)
+        out = hand.out if hand else None
+        if out is None or out.number != forward or out.called_off:
+            return
+        out.called_off = True
+        if out.started and out.task:
+            out.task.cancel()
+
+    def free_state(self, req: int) -> None:
+        hand = self.in_hand.get(req)
+        if hand and hand.may_hold and hand.out is None:
+            self._tasks.create_task(self._release(hand.may_hold, hand.message.headers[clients.ID]))
+            hand.may_hold = ""
+
+    def push_back(self, req: int, hold_off: int) -> None:
+        hand = self.in_hand[req]
+        if self._answered(hand, "pushed back"):
+            hand.reply.whole(*clients.push_back(hold_off))
+
+    def abort(self, req: int) -> None:
+        hand = self.in_hand[req]
+        if self._answered(hand, "aborted"):
+            hand.reply.whole(*clients.abort())
+
+    def probe(self, engine: str) -> None:
+        self._tasks.create_task(self._probe(engine))
+
+    def watch_engines(self) -> None:
+        """The list is pushed: its follower asks again by itself."""
+
+    # Carrying a forward.
+
+    async def _carry(self, hand: InHand, out: Out, abandon_at: int) -> None:
+        """From the sending of a forward to the telling of its ending; owns its connection throughout."""
+        out.started = True
+        peer = self.peers[out.engine]
+        connection: Connection | None = None
+        sight, note, report = Sight.CALLED_OFF, 0, None
+        self._connections += 1
+        self._make_room()
+        try:
+            async with asyncio.timeout((abandon_at - now()) / 1e6) as limit:
+                if out.called_off:
+                    raise asyncio.CancelledError
+                try:
+                    connection = await peer.link.take(fresh=False)
+                    sight, note, report = await self._exchange(hand, out, peer, connection, limit, abandon_at)
+                except UnwrittenError:
+                    # A kept connection that had just been closed at the other end: nothing of it was taken.
+                    sight = Sight.NO_CONNECTION
+                    if connection and connection.used:
+                        connection.abort()
+                        connection = await self._anew(peer)
+                        if connection:
+                            sight, note, report = await self._exchange(
+                                hand, out, peer, connection, limit, abandon_at
+                            )
+                except OSError:
+                    sight = Sight.CUT if connection else Sight.NO_CONNECTION
+        except TimeoutError:
+            sight = Sight.OUT_OF_TIME if connection else Sight.NO_CONNECTION
+            if hand.begun:
+                sight = Sight.STALLED
+                log.warning("a stream of %s fell silent and was cut", out.engine)
+        except asyncio.CancelledError:
+            if not out.called_off:
+                raise  # the process ends
+            sight = Sight.CALLED_OFF
+        except (OSError, EOFError):
+            sight = Sight.CUT
+        except HttpError as problem:
+            sight = Sight.STRANGE
+            log.info("strange answer of %s: %s", out.engine, problem.said[:120])
+        self._connections -= 1
+        if connection and sight in (Sight.READ, Sight.WRITTEN, Sight.TURNED_AWAY, Sight.STATE_GONE):
+            peer.link.give(connection)
+        elif connection:
+            connection.abort()
+            with contextlib.suppress(Exception, asyncio.CancelledError):
+                await connection.writer.wait_closed()
+        self._over(hand, out, sight, note, report)
+
+    async def _anew(self, peer: Peer) -> Connection | None:
+        try:
+            return await peer.link.take(fresh=True)
+        except (OSError, TimeoutError):
+            return None
+
+    async def _exchange(
+        self, hand: InHand, out: Out, peer: Peer, connection: Connection, limit: asyncio.Timeout, due_at: int
+    ) -> tuple[Sight, int, LoadReport | None]:
+        """Sends a forward and reads its answer: what was seen, tokens found kept, the load told with it."""
+        if peer.readiness != "ready" and now() - peer.told_at > self._start.drain_grace:
+            return Sight.STALE, 0, None  # guards rule 3 where connecting took longer than the grace
+        out.sent_at = now()
+        if out.reading:
+            hand.may_hold = out.engine
+        await connection.send(engines.forward(hand.message, due_at - out.sent_at))
+        head = await connection.head()
+        peer.heard_at = now()
+        report = engines.report_with(head.headers)
+        sight = engines.sight_of(head)
+        if sight:
+            body = await connection.rest(engines.ANSWER_BYTES)
+            return sight, engines.tokens_kept(body) if sight is Sight.READ else 0, report
+        return await self._stream(hand, out, connection, limit)
+
+    async def _stream(
+        self, hand: InHand, out: Out, connection: Connection, limit: asyncio.Timeout
+    ) -> tuple[Sight, int, LoadReport | None]:
+        """Relays a writer's events as they come. Until the first has, another forward is possible."""
+        events, guarded_at = engines.Events(), 0.0
+        held_back = b""
+        while data := await connection.more():
+            passes = held_back + events.feed(data)
+            if not events.begun:
+                held_back = passes
+                continue
+            held_back = b""
+            if hand.ended:
+                return Sight.CALLED_OFF, 0, None
+            if not hand.begun:
+                hand.begun, hand.may_hold = True, ""  # the writer has fetched what was held
+                self.router.on_begun(hand.id, out.number, now() - out.sent_at)
+                hand.reply.begin({}, passes)
+                room = True
+            else:
+                room = hand.reply.send(passes) if passes else True
+            if not room:
+                limit.reschedule(None)  # a slow client is not a silent engine
+                await hand.reply.room()
+                guarded_at = 0.0
+            if self._loop.time() > guarded_at + engines.SILENT_FOR / 8:
+                guarded_at = self._loop.time()
+                limit.reschedule(guarded_at + engines.SILENT_FOR * 9 / 8)
+        if not hand.begun or not events.whole:
+            raise HttpError(502, "a stream that is not whole")
+        if self._answered(hand, "done"):
+            hand.reply.end()
+        return Sight.WRITTEN, events.kept, events.report
+
+    def _over(self, hand: InHand, out: Out, sight: Sight, note: int, report: LoadReport | None) -> None:
+        """Tells how a forward ended. A stream that broke in front of its client ends without a last chunk."""
+        ending, mark = engines.ENDINGS[sight]
+        hand.out = None
+        if hand.begun and self._answered(hand, "broken"):
+            hand.reply.cut()
+        final = hand.ended != ""
+        took = now() - out.sent_at
+        self.router.on_ended(hand.id, out.number, out.engine, ending, took, note or mark, final, report)
+        if hand.ended and hand.out is None:
+            self.free_state(hand.id)  # guards rule 5 where the module has forgotten the req
+        self._forget(hand)
+
+    def _make_room(self) -> None:
+        """Engines' connections stay within their part of the descriptors: the longest unused one goes."""
+        links = [peer.link for peer in self.peers.values()]
+        while self._connections + sum(link.idle for link in links) > self._start.engines:
+            oldest = min(links, key=lambda link: link.idle_since)
+            if not oldest.idle:
+                return
+            oldest.drop_oldest()
+
+    async def _release(self, holder: str, client_id: str) -> None:
+        """Any engine passes a release on: one heard of lately stands in for a holder that is gone."""
+        others = sorted(
+            (name for name, peer in self.peers.items() if name != holder and peer.readiness != "gone"),
+            key=lambda name: -self.peers[name].heard_at,
+        )
+        for name in [holder, *others][:RELEASE_AT]:
+            if await self.peers[name].link.ask(engines.release(client_id), RELEASE_WITHIN) is not None:
+                return
+        log.warning("no engine answered the release of %s", client_id)
+
+    async def _probe(self, engine: str) -> None:
+        self._make_room()
+        answer = await self.peers[engine].link.ask(engines.PROBE, ASK_WITHIN)
+        report = None
+        if answer:
+            head, body = answer
+            report = engines.report_with(head.headers) or engines.report_of(body.decode("latin-1"))
+        self.router.on_probed(engine, report)
+
+    async def look_after_links(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_EVERY)
+            for peer in self.peers.values():
+                peer.link.sweep()
+
+    # The end of a req.
+
+    def _answered(self, hand: InHand, ended: str) -> bool:
+        """The one place that a final answer passes. False: there was one already."""
+        if hand.ended:
+            return False
+        hand.ended = ended
+        return True
+
+    def _forget(self, hand: InHand) -> None:
+        if not hand.ended or hand.out or self.in_hand.pop(hand.id, None) is None:
+            return
+        self._open_ids.discard(hand.message.headers[clients.ID])
+        for timer in hand.timers:
+            timer.cancel()
+        if not self.in_hand:
+            self.empty.set()
+
--- a/lifthead/simhost/__main__.py
+++ b/lifthead/simhost/__main__.py
@@ -1,7 +1,7 @@
 import sys
 
 from lifthead.simhost.serve import serve
-from lifthead.simhost.wire import MalformedError
+from lifthead.terms import MalformedError
 
 if __name__ == "__main__":
     try:
--- a/lifthead/simhost/serve.py
+++ b/lifthead/simhost/serve.py
@@ -4,7 +4,7 @@
 
 from lifthead.control import Router
 from lifthead.simhost import wire
-from lifthead.simhost.wire import Fields, MalformedError
+from lifthead.terms import Fields, MalformedError, deployment_of, flag, named, required, whole
 
 
 class WireHost:
@@ -53,10 +53,10 @@
         self.sheets: dict[str, list] = {}
 
     def event(self, name: str, fields: Fields) -> None:
-        number = wire.required(fields, "Router")
+        number = required(fields, "Router")
         if name == "INIT":
             host = WireHost(number, self.clock, self.reply)
-            self.routers[number] = Router(host, wire.deployment_of(fields))
+            self.routers[number] = Router(host, deployment_of(fields))
             return
         router = self.routers.get(number)
         if router is None:
@@ -67,26 +67,26 @@
             router.on_req(wire.demand_of(fields))
         elif name == "ENDED":
             router.on_ended(
-                wire.whole(fields, "Id"),
-                wire.whole(fields, "Try", 0),
-                wire.required(fields, "Engine"),
-                wire.named(wire.ENDINGS, fields, "Ending"),
-                wire.whole(fields, "Took", 0),
-                wire.whole(fields, "Remark", 0),
-                wire.flag(fields, "Settled"),
+                whole(fields, "Id"),
+                whole(fields, "Try", 0),
+                required(fields, "Engine"),
+                named(wire.ENDINGS, fields, "Ending"),
+                whole(fields, "Took", 0),
+                whole(fields, "Remark", 0),
+                flag(fields, "Settled"),
                 wire.report_of(fields),
             )
         elif name == "ESTABLISHED":
-            took = wire.whole(fields, "Took", 0)
-            router.on_begun(wire.whole(fields, "Id"), wire.whole(fields, "Try", 0), took)
+            took = whole(fields, "Took", 0)
+            router.on_begun(whole(fields, "Id"), whole(fields, "Try", 0), took)
         elif name == "EXPIRED":
-            router.on_expired(wire.whole(fields, "Id"))
+            router.on_expired(whole(fields, "Id"))
         elif name == "ALARM":
-            router.on_wake(wire.whole(fields, "Label"))
+            router.on_wake(whole(fields, "Label"))
         elif name == "ECHO":
-            router.on_probed(wire.required(fields, "Engine"), wire.report_of(fields))
+            router.on_probed(required(fields, "Engine"), wire.report_of(fields))
         elif name == "BACKENDS_CHANGED":
-            how = wire.required(fields, "How")
+            how = required(fields, "How")
             if how == "unavailable":
                 router.on_engines_unavailable()
             elif how in ("update", "replace", "restored"):
@@ -115,7 +115,7 @@
             if name == "FRAME":
                 if in_batch:
                     raise MalformedError("FRAME inside a batch")
-                sim.clock[0] = wire.whole(fields, "T")
+                sim.clock[0] = whole(fields, "T")
                 in_batch = True
             elif not in_batch:
                 raise MalformedError(f"'{line[:120]}' outside a batch")
@@ -127,7 +127,7 @@
                 in_batch = False
             elif name == "SHEET":
                 sheet = sim.sheets[fields.get("List", "0")] = []
-                entries_due = wire.whole(fields, "MembersList", 0)
+                entries_due = whole(fields, "MembersList", 0)
             elif "Router" in fields:
                 sim.event(name, fields)
             elif name in ("INIT", "DEMAND", "ENDED", "BACKENDS_CHANGED"):
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -3,7 +3,7 @@
 import pytest
 
 from lifthead.simhost.serve import serve
-from lifthead.simhost.wire import MalformedError
+from lifthead.terms import MalformedError
 
 INIT = (
     "INIT Router=0 Nonce64=5 Zone=a Dcs=a Flavors=P,D FamilyInfo.RoleByKind=read,write "
