--- a/lifthead/daemon/host.py
+++ b/lifthead/daemon/host.py
@@ -2,8 +2,7 @@
 
 Boundaries kept here:
 - the module's calls return at once and its news comes on a later turn of the loop, in order, from one loop;
-- every final answer passes `_answered`, which makes a second one impossible;
-- a forward's connection is closed before its ending is told, so the next forward finds it out no more;
+- what any host does alike (one final answer, forwards out, wake-ups) is in lifthead/hosting.py;
 - deadlines are the module's; `stalled_for` is only a last guard on a begun stream, and it logs.
 """
 
@@ -14,7 +13,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
-from lifthead import control
+from lifthead import control, hosting
 from lifthead.chat import codec as chat
 from lifthead.chat.codec import Asked, Gathered
 from lifthead.chat.server import JSON, Reply
@@ -23,6 +22,7 @@
 from lifthead.engines import codec
 from lifthead.engines.codec import ENDINGS, ListNews, Sight, StrangeError
 from lifthead.engines.link import Connection, Link
+from lifthead.hosting import Hosting, now
 from lifthead.http1 import HttpError
 from lifthead.interface import Demand, Deployment, Effect, Ending, EngineEntry, LoadReport
 from lifthead.members.weight import Lately
@@ -36,41 +36,25 @@
 ASK_WITHIN = 1.0  # seconds that letting go or a probe may take; the module is told nothing of a lost one
 
 
-def now() -> int:
-    return time.monotonic_ns() // 1000
-
-
-@dataclass(slots=True)
-class Out:
+@dataclass(slots=True, eq=False)
+class Out(hosting.Out):
     """A forward that is out."""
 
-    number: int
-    engine: str
-    reading: bool
-    sent_at: int
-    task: asyncio.Task | None = None
-    started: bool = False
-    called_off: bool = False
     lost: str = ""  # why its stream is given up, though nobody left
     tokens: int = 0  # answer tokens so far
 
 
-@dataclass(slots=True)
-class InHand:
-    """A req that was taken and whose forwards are not all over."""
+@dataclass(slots=True, eq=False, kw_only=True)
+class InHand(hosting.InHand):
+    """A req that was taken and whose forwards are not all over; another id for each of its legs."""
 
-    id: int  # the module's, another one for each leg
     serial: int  # this router's, once and for all
     name: str
     asked: Asked
-    reply: Reply
     taken_at: int
-    out: Out | None = None
-    forwards: int = 0
     handle: Any = None  # of the state that waits at a reader
     held_at: str = ""
     held_by: str = ""  # the forward that left it there
-    begun: bool = False  # this leg's stream runs
     first_at: int = 0
     sent: int = 0  # forwards of all legs
     body: dict[str, Any] = field(default_factory=dict)  # this leg's req to engines
@@ -86,19 +70,13 @@
     billed: bool = False
     ran: tuple[str, int] = ("", 0)  # where the broken stream ran, and when its forward was sent
     ended_at: int = 0
-    ended: str = ""  # "done", "pushed back", "aborted" or "left": exactly one, once
     trail: list[str] = field(default_factory=list)
-    timers: list[asyncio.TimerHandle] = field(default_factory=list)
 
 
-@dataclass(slots=True)
-class Peer:
-    """An engine as the host knows it: how to get there, and since when it may get nothing new."""
+@dataclass(slots=True, eq=False)
+class Peer(hosting.Peer):
+    """An engine as the daemon knows it."""
 
-    link: Link
-    kind: str
-    readiness: str
-    told_at: int
     drains_by: int = 0  # on this router's clock, 0: no limit
 
 
@@ -112,7 +90,10 @@
         """It has had its end."""
 
 
-class Host:
+class Host(Hosting):
+    out_type = Out
+    peer_type = Peer
+
     def __init__(
         self,
         name: str,
@@ -126,34 +107,23 @@
         bill: Bill | None = None,
         decide: Callable[[Any, Deployment], control.Router] = control.Router,
     ) -> None:
+        super().__init__(deployment, tasks, grace)
         self.name = name
         self.limits = limits
         self.gauges = gauges
-        self.in_hand: dict[int, InHand] = {}
-        self.peers: dict[str, Peer] = {}
         self.listed_at = 0  # when a list of engines last came; 0: never
-        self._tasks = tasks
         self._log = log
-        self._grace = grace
         self._resumes = resumes
         self._bill = bill
-        self._next = 1
-        self._roles = deployment.roles
         self._effects = {group.name: group.effect for group in deployment.groups.values()}
         self._wall = time.time_ns() // 1000 - now()
         self._life = (
             f"{time.time_ns() // 1_000_000:x}"  # engines must not take this life's reqs for the last one's
         )
-        self._loop = asyncio.get_running_loop()
-        self._taking: InHand | None = None  # the req that the module is being told of
-        self._stopped = False
         self._streams: dict[int, InHand] = {}  # whose stream has begun and may break, by serial
         self.notice = Notice(int(limits.stalled_for))
         self.rescue = Rescue()
         self.lately = Lately()
-        self._groups = deployment.groups
-        self.empty = asyncio.Event()
-        self.empty.set()
         self.router = decide(self, deployment)
 
     # What comes in.
@@ -163,15 +133,8 @@
         at = self.listed_at = now()
         entries = []
         for listed in news.engines:
-            known = self.peers.get(listed.name)
-            if known is None or known.link.address != listed.address:
-                if known:
-                    known.link.close()
-                link = Link(listed.address, self.limits.connect_within / 1e6)
-                self.peers[listed.name] = Peer(link, listed.kind, listed.readiness, at)
-            elif known.readiness != listed.readiness:
-                known.readiness, known.told_at = listed.readiness, at
-            self.peers[listed.name].drains_by = listed.drains_by - self._wall if listed.drains_by else 0
+            peer = self._note(listed.name, listed.address, listed.kind, listed.readiness, at)
+            peer.drains_by = listed.drains_by - self._wall if listed.drains_by else 0
             up_since = max(listed.started_at - self._wall, 1) if listed.started_at else 0
             entries.append(
                 EngineEntry(
@@ -185,12 +148,12 @@
                 )
             )
         if news.whole:
-            named = {listed.name for listed in news.engines}
-            for name, peer in self.peers.items():
-                if name not in named and peer.readiness != "gone":
-                    peer.readiness, peer.told_at = "gone", at
+            self._only({listed.name for listed in news.engines}, at)
         self.router.on_engines(entries, news.whole)
 
+    def _link(self, address: str) -> Link:
+        return Link(address, self.limits.connect_within / 1e6)
+
     def on_list_lost(self) -> None:
         self.router.on_engines_unavailable()
 
@@ -204,7 +167,8 @@
     async def take(self, asked: Asked, reply: Reply) -> None:
         """A client's req, from its demand to the end of its answer."""
         req_id, self._next = self._next, self._next + 1
-        hand = InHand(req_id, req_id, f"{self.name}-{self._life}-{req_id}", asked, reply, now())
+        name = f"{self.name}-{self._life}-{req_id}"
+        hand = InHand(id=req_id, serial=req_id, name=name, asked=asked, reply=reply, taken_at=now())
         hand.body = asked.body
         self.in_hand[req_id] = hand
         self.empty.clear()
@@ -248,34 +212,9 @@
 
     # What the module does.
 
-    def now(self) -> int:
-        return now()
-
-    def wake(self, after: int, label: int) -> None:
-        timer = self._loop.call_later(max(after, 0) / 1e6, self._ring, label)
-        if self._taking:  # a wake-up for a req is of no use once the req is over
-            self._taking.timers.append(timer)
-
-    def _ring(self, label: int) -> None:
-        if not self._stopped:
-            self.router.on_wake(label)
-
     def forward(self, req: int, engine: str, abandon_at: int) -> None:
-        hand = self.in_hand[req]
-        reading = self._roles.get(self.peers[engine].kind, "both") == "read"
-        hand.out = Out(hand.forwards, engine, reading, now())
-        hand.forwards += 1
-        hand.sent += 1
-        hand.out.task = self._tasks.create_task(self._carry(hand, hand.out, abandon_at))
-
-    def cancel(self, req: int, forward: int) -> None:
-        hand = self.in_hand.get(req)
-        out = hand.out if hand else None
-        if out is None or out.number != forward or out.called_off:
-            return
-        out.called_off = True
-        if out.started and out.task:
-            out.task.cancel()
+        self.in_hand[req].sent += 1
+        super().forward(req, engine, abandon_at)
 
     def free_state(self, req: int) -> None:
         hand = self.in_hand.get(req)
@@ -311,9 +250,6 @@
     def probe(self, engine: str) -> None:
         self._tasks.create_task(self._probe(engine))
 
-    def watch_engines(self) -> None:
-        """The list is pushed: its follower asks again by itself."""
-
     # Carrying a forward.
 
     async def _carry(self, hand: InHand, out: Out, abandon_at: int) -> None:
@@ -333,8 +269,8 @@
                 except (OSError, TimeoutError):
                     sight = Sight.NO_CONNECTION
                 else:
-                    if peer.readiness != "ready" and now() - peer.told_at > self._grace:
-                        sight = Sight.STALE  # guards rule 3 where connecting took longer than the grace
+                    if self._too_late(peer):
+                        sight = Sight.STALE
                     else:
                         sight, note, report = await self._exchange(hand, out, peer, connection, name, limit)
         except TimeoutError:
@@ -348,12 +284,8 @@
         except (HttpError, StrangeError, SeamError) as problem:
             sight = Sight.STRANGE
             self._log.warning("strange answer", req=hand.name, engine=out.engine, said=str(problem)[:200])
-        if connection and sight in (Sight.READ, Sight.WRITTEN, Sight.TURNED_AWAY, Sight.STATE_GONE):
-            peer.link.give(connection)
-        elif connection:
-            connection.abort()
-            with contextlib.suppress(Exception, asyncio.CancelledError):
-                await connection.writer.wait_closed()
+        whole = sight in (Sight.READ, Sight.WRITTEN, Sight.TURNED_AWAY, Sight.STATE_GONE)
+        await self._part(peer, connection, whole)
         if out.reading and connection and sight not in (Sight.READ, Sight.TURNED_AWAY):
             # Guards rule 5 where the reader answers after the req was given up.
             self._release(out.engine, name)
@@ -675,10 +607,8 @@
         return {"x-request-id": hand.name}
 
     def _answered(self, hand: InHand, ended: str) -> bool:
-        """The one place that a final answer passes. False: there was one already."""
-        if hand.ended:
+        if not super()._answered(hand, ended):
             return False
-        hand.ended = ended
         hand.ended_at = now()
         self.gauges.ended(hand.asked.group, ended)
         target = self._groups[hand.asked.group].target_of(hand.asked.prompt)
@@ -687,13 +617,9 @@
             self.lately.add(now(), ended == "pushed back", ended != "done" or late)
         return True
 
-    def _forget(self, hand: InHand) -> None:
-        if not hand.ended or hand.out or self.in_hand.pop(hand.id, None) is None:
-            return
-        if not self.in_hand:
-            self.empty.set()
-        for timer in hand.timers:
-            timer.cancel()
+    def _forget(self, hand: InHand) -> bool:
+        if not super()._forget(hand):
+            return False
         if self._bill:
             self._bill.over(hand)
         asked = hand.asked
@@ -709,6 +635,7 @@
             prompt=asked.prompt,
             forwards=hand.trail,
         )
+        return True
 
     def give_up_all(self) -> None:
         """The stop's own time is over: what is left is aborted, as loudly as can be."""
@@ -723,11 +650,6 @@
             if hand.out:
                 self.cancel(hand.id, hand.out.number)
 
-    def close(self) -> None:
-        self._stopped = True
-        for peer in self.peers.values():
-            peer.link.close()
-
     # What operators may see.
 
     def at_engines(self) -> dict[str, int]:
--- a/lifthead/node/host.py
+++ b/lifthead/node/host.py
@@ -2,23 +2,21 @@
 
 Boundaries kept here:
 - the module's calls return at once and its news comes on a later turn of the loop, in order, from one loop;
-- every final answer passes `_answered`, which makes a second one impossible;
-- a forward's connection is closed before its ending is told, so the next forward finds it out no more;
+- what any host does alike (one final answer, forwards out, wake-ups) is in lifthead/hosting.py;
 - deadlines are the module's; a begun stream without a byte for long is cut, and that is logged.
 """
 
 import asyncio
-import contextlib
 import logging
-import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
-from lifthead import control
+from lifthead import control, hosting
 from lifthead.chat.server import Reply
 from lifthead.engines.codec import Sight
 from lifthead.engines.link import Connection, Link, UnwrittenError
+from lifthead.hosting import Hosting, Out, now
 from lifthead.http1 import HttpError, Message
-from lifthead.interface import Demand, LoadReport
+from lifthead.interface import LoadReport
 from lifthead.node import clients, engines
 from lifthead.node.discovery import News
 from lifthead.node.start import Start
@@ -31,66 +29,29 @@
 log = logging.getLogger(__name__)
 
 
-def now() -> int:
-    return time.monotonic_ns() // 1000
-
-
-@dataclass(slots=True)
-class Out:
-    """A forward that is out."""
-
-    number: int
-    engine: str
-    reading: bool
-    sent_at: int
-    task: asyncio.Task | None = None
-    started: bool = False
-    called_off: bool = False
-
-
-@dataclass(slots=True)
-class InHand:
+@dataclass(slots=True, eq=False, kw_only=True)
+class InHand(hosting.InHand):
     """A req that was taken and whose forwards are not all over."""
 
-    id: int
-    demand: Demand
     message: Message
-    reply: Reply
-    out: Out | None = None
-    forwards: int = 0
     may_hold: str = ""  # a reader where its state may wait
-    begun: bool = False
-    ended: str = ""  # "done", "pushed back", "aborted" or "left": exactly one, once
-    timers: list[asyncio.TimerHandle] = field(default_factory=list)
 
 
-@dataclass(slots=True)
-class Peer:
-    """An engine as the host knows it: how to get there, and since when it may get nothing new."""
+@dataclass(slots=True, eq=False)
+class Peer(hosting.Peer):
+    """An engine as the node knows it."""
 
-    link: Link
-    kind: str
-    readiness: str
-    told_at: int
     heard_at: int = 0
 
 
-class Host:
+class Host(Hosting):
+    peer_type = Peer
+
     def __init__(self, start: Start, tasks: asyncio.TaskGroup) -> None:
-        self.in_hand: dict[int, InHand] = {}
-        self.peers: dict[str, Peer] = {}
-        self.empty = asyncio.Event()
-        self.empty.set()
-        self.stopping = False
+        super().__init__(start.deployment, tasks, start.drain_grace)
         self._start = start
-        self._tasks = tasks
-        self._loop = asyncio.get_running_loop()
-        self._groups = start.deployment.groups
-        self._roles = start.deployment.roles
         self._open_ids: set[str] = set()
-        self._next = 1
         self._connections = 0  # to engines, in use
-        self._taking: InHand | None = None
         self.router = control.Router(self, start.deployment)
 
     # What comes in.
@@ -99,18 +60,9 @@
         """Discovery's word. What is left out of a whole list counts as gone."""
         at = now()
         for entry, address in news.entries:
-            known = self.peers.get(entry.engine)
-            if known is None or known.link.address != address:
-                if known:
-                    known.link.close()
-                self.peers[entry.engine] = Peer(self._link(address), entry.kind, entry.readiness, at)
-            elif known.readiness != entry.readiness:
-                known.readiness, known.told_at = entry.readiness, at
+            self._note(entry.engine, address, entry.kind, entry.readiness, at)
         if news.whole:
-            named = {entry.engine for entry, _ in news.entries}
-            for name, peer in self.peers.items():
-                if name not in named and peer.readiness != "gone":
-                    peer.readiness, peer.told_at = "gone", at
+            self._only({entry.engine for entry, _ in news.entries}, at)
         self.router.on_engines([entry for entry, _ in news.entries], news.whole)
 
     def _link(self, address: str) -> Link:
@@ -121,8 +73,7 @@
     async def answer(self, message: Message, reply: Reply) -> None:
         """A client's message, from its last byte to the end of its answer."""
         if message.path == clients.READY and message.method == "GET":
-            ready = bool(self.peers) and not self.stopping
-            return reply.whole(200 if ready else 503, b"")
+            return reply.whole(200 if self.peers else 503, b"")
         try:
             demand = clients.demand_of(message, self._next, self._groups)
             client_id = message.headers[clients.ID]
@@ -132,7 +83,7 @@
             reply.keep_alive = False
             return reply.whole(problem.status, clients.error(problem.status, "bad_req", problem.said))
         self._next += 1
-        hand = InHand(demand.id, demand, message, reply)
+        hand = InHand(id=demand.id, reply=reply, message=message)
         self.in_hand[hand.id] = hand
         self._open_ids.add(client_id)
         self.empty.clear()
@@ -154,33 +105,6 @@
 
     # What the module does.
 
-    def now(self) -> int:
-        return now()
-
-    def wake(self, after: int, label: int) -> None:
-        timer = self._loop.call_later(max(after, 0) / 1e6, self.router_wakes, label)
-        if self._taking:  # a wake-up for a req is of no use once the req is over
-            self._taking.timers.append(timer)
-
-    def router_wakes(self, label: int) -> None:
-        self.router.on_wake(label)
-
-    def forward(self, req: int, engine: str, abandon_at: int) -> None:
-        hand = self.in_hand[req]
-        reading = self._roles.get(self.peers[engine].kind, "both") == "read"
-        hand.out = Out(hand.forwards, engine, reading, now())
-        hand.forwards += 1
-        hand.out.task = self._tasks.create_task(self._carry(hand, hand.out, abandon_at))
-
-    def cancel(self, req: int, forward: int) -> None:
-        hand = self.in_hand.get(req)
-        out = hand.out if hand else None
-        if out is None or out.number != forward or out.called_off:
-            return
-        out.called_off = True
-        if out.started and out.task:
-            out.task.cancel()
-
     def free_state(self, req: int) -> None:
         hand = self.in_hand.get(req)
         if hand and hand.may_hold and hand.out is None:
@@ -200,9 +124,6 @@
     def probe(self, engine: str) -> None:
         self._tasks.create_task(self._probe(engine))
 
-    def watch_engines(self) -> None:
-        """The list is pushed: its follower asks again by itself."""
-
     # Carrying a forward.
 
     async def _carry(self, hand: InHand, out: Out, abandon_at: int) -> None:
@@ -247,12 +168,8 @@
             sight = Sight.STRANGE
             log.info("strange answer of %s: %s", out.engine, problem.said[:120])
         self._connections -= 1
-        if connection and sight in (Sight.READ, Sight.WRITTEN, Sight.TURNED_AWAY, Sight.STATE_GONE):
-            peer.link.give(connection)
-        elif connection:
-            connection.abort()
-            with contextlib.suppress(Exception, asyncio.CancelledError):
-                await connection.writer.wait_closed()
+        whole = sight in (Sight.READ, Sight.WRITTEN, Sight.TURNED_AWAY, Sight.STATE_GONE)
+        await self._part(peer, connection, whole)
         self._over(hand, out, sight, note, report)
 
     async def _anew(self, peer: Peer) -> Connection | None:
@@ -265,8 +182,8 @@
         self, hand: InHand, out: Out, peer: Peer, connection: Connection, limit: asyncio.Timeout, due_at: int
     ) -> tuple[Sight, int, LoadReport | None]:
         """Sends a forward and reads its answer: what was seen, tokens found kept, the load told with it."""
-        if peer.readiness != "ready" and now() - peer.told_at > self._start.drain_grace:
-            return Sight.STALE, 0, None  # guards rule 3 where connecting took longer than the grace
+        if self._too_late(peer):
+            return Sight.STALE, 0, None
         out.sent_at = now()
         if out.reading:
             hand.may_hold = out.engine
@@ -364,19 +281,8 @@
 
     # The end of a req.
 
-    def _answered(self, hand: InHand, ended: str) -> bool:
-        """The one place that a final answer passes. False: there was one already."""
-        if hand.ended:
+    def _forget(self, hand: InHand) -> bool:
+        if not super()._forget(hand):
             return False
-        hand.ended = ended
-        return True
-
-    def _forget(self, hand: InHand) -> None:
-        if not hand.ended or hand.out or self.in_hand.pop(hand.id, None) is None:
-            return
         self._open_ids.discard(hand.message.headers[clients.ID])
-        for timer in hand.timers:
-            timer.cancel()
-        if not self.in_hand:
-            self.empty.set()
-
+        return True
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,502 @@
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+
+import pytest
+
+from lifthead.engines.codec import Sight
+from lifthead.engines.link import Link
+from lifthead.http1 import AnswerParser, HttpError, Message, ReqParser
+from lifthead.interface import Effect, Ending, LoadReport
+from lifthead.node import clients, engines, start
+from lifthead.node.discovery import Follower, StrangeNewsError, news_of
+from lifthead.terms import deployment_of, flat
+from tests.platform import (
+    CLOSE,
+    END,
+    EVENT,
+    HANG,
+    HAS_READ,
+    HEAD,
+    SETTINGS,
+    STREAM,
+    TURNED_AWAY,
+    Client,
+    Engine,
+    Node,
+    ask,
+    chat,
+    chunk,
+    config,
+    news,
+    target,
+)  # fmt: skip
+
+SPOILT = {
+    "noise": b"\x00\x17noise\r\n\r\n" * 9,
+    "endless head": b"HTTP/1.1 200 OK\r\nx: " + b"y" * 40_000,
+    "change of protocol": b"HTTP/1.1 101 Switching\r\n\r\n",
+    "noise in a chunk": HEAD + chunk(b"\x00noise\n\n"),
+    "chunk size": HEAD + b"zz\r\n" + EVENT,
+    "chunk that does not fit": HEAD + b"9\r\n" + EVENT,
+    "huge chunk": HEAD + b"C0000000\r\n" + b"x" * 400_000,
+    "no event at all": HEAD + b"0\r\n\r\n",
+}
+
+
+# The configuration.
+
+
+def test_the_settings_mean_the_same_from_both_sources():
+    env = {
+        "Zone": "a", "Flavors": "P,D", "FamilyInfo.RoleByKind": "read,write", "FamilyInfo.KvTokens": "9,8",
+        "FamilyInfo.LocalRead": "true", "Grades.count": "1", "Grades.0.Name": "ask",
+        "Grades.0.Effect": "safe",
+        "Grades.0.Target": "1500000", "FamilyInfo.AimUsPer1000PromptTokens": "40000.0", "ReplicasOfMe": "3",
+    }  # fmt: skip
+    nested = {
+        "Zone": "a", "Flavors": ["P", "D"], "ReplicasOfMe": 3, "New": None, "Tenants": [],
+        "FamilyInfo": {
+            "RoleByKind": ["read", "write"], "KvTokens": [9, 8], "LocalRead": True,
+            "AimUsPer1000PromptTokens": [40000.0],
+        },
+        "Grades": [{"Name": "ask", "Effect": "safe", "Target": 1500000}],
+    }  # fmt: skip
+    assert deployment_of(flat(nested)) == deployment_of(env)
+
+
+def test_a_configuration_gives_limits_and_the_known_list():
+    known = json.loads(news(target("rd", "1.2.3.4:5", boot_ms=0), rev=41))
+    told = start.start_of(json.dumps(config(known=known, limits={"sockets": 256})).encode())
+    assert (told.known.version, told.known.entries[0][1]) == (41, "1.2.3.4:5")
+    assert told.clients + told.engines + start.OWN == 256 and told.clients > 256 / 3
+    assert told.deployment.seed == 11 and told.deployment.groups["pay"].effect is Effect.NON_REPLAYABLE
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"", b"{", b"[]", b'{"name":"n"}', json.dumps(config(listen="nowhere")).encode(),
+     json.dumps(config(seed="xyz")).encode(), json.dumps(config(known={"rev": 1})).encode(),
+     json.dumps(config(settings={"Grades": [{}]})).encode()],
+)  # fmt: skip
+def test_a_configuration_that_cannot_be_used_is_refused(data):
+    with pytest.raises(start.StartError):
+        start.start_of(data)
+
+
+# The codecs.
+
+
+def message(data):
+    parser = ReqParser(clients.HEAD_BYTES, clients.BODY_BYTES)
+    parser.feed(data)
+    return parser.ready.popleft()
+
+
+GROUPS = deployment_of(flat(SETTINGS)).groups
+
+
+def test_a_message_becomes_a_demand():
+    props = "prefix=5c0f,prompt_len=512,prefix_len=128,max_out=80"
+    sent = chat(600, X_Props=props, X_Second_Try="again", waits="4800")
+    demand = clients.demand_of(message(sent), 7, GROUPS)
+    assert (demand.id, demand.group, demand.budget, demand.prompt, demand.max_out) == (
+        7,
+        "ask",
+        4_800_000,
+        512,
+        80,
+    )
+    assert (demand.beginning, demand.beginning_len, demand.session, demand.again) == ("5c0f", 128, "s1", True)
+
+
+@pytest.mark.parametrize(
+    ("how", "status"),
+    [
+        ({"trace": None}, 400), ({"trace": "a b"}, 400), ({"trace": "x" * 65}, 400), ({"trace": "a,a"}, 400),
+        ({"group": "none"}, 400), ({"group": None}, 400),
+        ({"waits": None}, 400), ({"waits": "soon"}, 400), ({"waits": "-5"}, 400), ({"waits": "0"}, 400),
+        ({"waits": "1e3"}, 400), ({"waits": "9" * 30}, 400), ({"waits": "²"}, 400),
+        ({"X_Props": "prompt_len=-4"}, 400), ({"X_Props": "prompt_len=x"}, 400),
+        ({"X_Props": "prompt_len=999999"}, 400),
+        ({"body": b""}, 400), ({"body": b"{"}, 400), ({"body": b'{"model":"m"}'}, 400),
+        ({"body": b"\xff"}, 400),
+        ({"body": b"[" * 20_000}, 400),
+        ({"path": "/v1/other"}, 404),
+    ],
+)  # fmt: skip
+def test_what_is_no_demand_is_answered_with_4xx(how, status):
+    with pytest.raises(HttpError) as caught:
+        clients.demand_of(message(chat(**how)), 1, GROUPS)
+    assert caught.value.status == status
+
+
+def test_a_forward_passes_the_message_on():
+    came = message(chat(50, trace="t9", path=clients.PATH + "?a=1"))
+    went = message(engines.forward(came, 1_500_000))
+    assert (went.method, went.path, went.body) == (came.method, came.path, came.body)
+    assert (went.headers["x-trace-id"], went.headers["x-expires-in-ms"]) == ("t9", "1500")
+
+
+@pytest.mark.parametrize(
+    ("status", "mark", "ending"),
+    [(202, "", (Ending.READ, 0)), (500, "", (Ending.ERROR, 0)), (503, "1", (Ending.BUSY, 0)),
+     (504, "1", (Ending.BUSY, 0)), (503, "", (Ending.ERROR, 0)), (410, "1", (Ending.BUSY, 1)),
+     (400, "", (Ending.ERROR, 0)), (302, "", (Ending.ERROR, 0))],
+)  # fmt: skip
+def test_what_an_answer_says_of_its_forward(status, mark, ending):
+    sight = engines.sight_of(Message(status=status, headers={"x-never-ran": mark}))
+    assert engines.ENDINGS[sight] == ending
+
+
+def test_every_sight_has_an_ending_and_few_prove_that_nothing_ran():
+    not_run = {Ending.UNREACHABLE, Ending.NOT_SENT, Ending.BUSY}
+    proofs = {sight for sight, (ending, _) in engines.ENDINGS.items() if ending in not_run}
+    assert set(engines.ENDINGS) == set(Sight)
+    assert proofs == {Sight.NO_CONNECTION, Sight.STALE, Sight.TURNED_AWAY, Sight.STATE_GONE}
+
+
+@pytest.mark.parametrize(
+    ("text", "report"),
+    [
+        ("TEXT inflight=7, queue=2, x0=0.61, x1=1.5", LoadReport(7, 2, None, 0.61, 1.5)),
+        ("TEXT inflight=7, queue=nan, util=-1", LoadReport(7)),
+        ("TEXT \x00\x17", None), ("", None), ("TEXT inflight", None), ("TEXT other=4", None),
+    ],
+)  # fmt: skip
+def test_load_reports(text, report):
+    assert engines.report_of(text) == report
+
+
+def test_events_pass_whole_and_unchanged_whatever_the_borders():
+    stream = EVENT + b": Endpoint-Load-Metrics: TEXT queue=3\n\n" + EVENT + END
+    for size in (1, 7, 50, len(stream)):
+        events = engines.Events()
+        parts = [events.feed(stream[at : at + size]) for at in range(0, len(stream), size)]
+        assert b"".join(parts) == stream and events.whole and events.kept == 7
+        assert all(not part or part.endswith(b"\n\n") for part in parts)
+        assert events.report == LoadReport(queued=3)
+
+
+@pytest.mark.parametrize(
+    "data", [b"noise\n\n", b"data: {\n\n", b'data: {"x":1}\n\n', b"data: \xff\n\n", b"x" * 300_000]
+)
+def test_what_is_no_event_does_not_pass(data):
+    events = engines.Events()
+    assert events.feed(EVENT[:20]) == b""
+    with pytest.raises(HttpError):
+        events.feed(EVENT[20:] + data)
+
+
+def test_an_answer_behind_announcements_is_read_and_one_behind_it_is_surplus():
+    parser = AnswerParser()
+    parser.feed(b"HTTP/1.1 103 Early\r\nx-never-ran: 1\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n" + HAS_READ)
+    assert (parser.head.status, parser.complete, parser.surplus) == (202, True, False)
+    assert "x-never-ran" not in parser.head.headers
+    parser.feed(b"HTTP/1.1 500 Oh\r\ncontent-length: 2\r\n\r\nhi")
+    assert parser.surplus and parser.head.status == 202 and parser.body() == b'{"cached_tokens": 5}'
+
+
+def test_announcements_without_end_are_no_answer():
+    with pytest.raises(HttpError):
+        AnswerParser().feed(b"HTTP/1.1 102 Processing\r\n\r\n" * 20)
+
+
+@pytest.mark.parametrize("line", [b"{", b"[]", news(target("e", "nowhere")), news(target("e", "a:1", "odd"))])
+def test_a_line_that_is_no_list_is_strange(line):
+    with pytest.raises(StrangeNewsError):
+        news_of(line)
+
+
+def test_a_start_is_told_on_this_machines_clock():
+    at = time.time_ns() // 1_000_000
+    entry, _ = news_of(news(target("e", "a:1", boot_ms=at), target("f", "a:1"))).entries[0]
+    assert abs(entry.up_since - time.monotonic_ns() // 1000) < 1_000_000
+
+
+# Connections to engines.
+
+
+def test_a_connection_with_bytes_that_nobody_asked_for_is_not_used_again():
+    async def play(script):
+        engine = Engine(script)
+        server = await asyncio.start_server(engine.connection, "127.0.0.1", 0)
+        link = Link("{}:{}".format(*server.sockets[0].getsockname()), 1.0)
+        for _ in range(2):
+            assert (await link.ask(engines.PROBE, 1.0))[0].status == 202
+            await asyncio.sleep(0.05)
+        link.close()
+        server.close()
+        return engine.connections
+
+    assert asyncio.run(play([HAS_READ])) == 1
+    assert asyncio.run(play([HAS_READ + HAS_READ])) == 2
+    assert asyncio.run(play([HAS_READ, 0.01, HAS_READ])) == 2
+
+
+def test_connections_that_wait_unused_are_swept_once_their_end_has_closed():
+    async def play():
+        server = await asyncio.start_server(Engine([HAS_READ, CLOSE]).connection, "127.0.0.1", 0)
+        link = Link("{}:{}".format(*server.sockets[0].getsockname()), 1.0)
+        await link.ask(engines.PROBE, 1.0)
+        await asyncio.sleep(0.05)
+        link.sweep()
+        server.close()
+        return link.idle
+
+    assert asyncio.run(play()) == 0
+
+
+# Discovery.
+
+
+def test_a_watch_goes_on_elsewhere_from_the_version_in_hand():
+    async def play():
+        asked, heard = [], []
+
+        def discovery(rev):
+            async def serve(reader, writer):
+                asked.append((await reader.readuntil(b"\r\n\r\n")).split(b" ")[1].decode())
+                writer.write(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+                writer.write(chunk(b"\n") + chunk(news(target("rd", "a:1"), rev=rev) + b"\n"))
+                await reader.read()
+                writer.close()
+
+            return serve
+
+        servers = [await asyncio.start_server(discovery(rev), "127.0.0.1", 0) for rev in (43, 50)]
+        old, new = (server.sockets[0].getsockname() for server in servers)
+        follower = Follower(old, 41, lambda news: heard.append(news.version))
+        task = asyncio.create_task(follower.follow())
+        async with asyncio.timeout(3):
+            while heard != [43]:
+                await asyncio.sleep(0.01)
+            follower.turn_to(new)
+            while heard != [43, 50]:
+                await asyncio.sleep(0.01)
+        task.cancel()
+        for server in servers:
+            server.close()
+        return asked
+
+    assert [path.rpartition("=")[2] for path in asyncio.run(play())] == ["41", "43"]
+
+
+# The host.
+
+
+def played(play, **how):
+    async def run():
+        async with Node(**how) as node:
+            return await asyncio.wait_for(play(node), 10)
+
+    return asyncio.run(run())
+
+
+def test_a_short_prompt_is_read_where_it_is_written_and_its_stream_passes_unchanged():
+    wr, rd = Engine(), Engine([HAS_READ])
+    status, _, body, whole = played(lambda node: ask(node.address, chat(100, trace="t1")), wr=wr, rd=rd)
+    assert (status, body, whole) == (200, EVENT + EVENT + END, True)
+    assert not rd.came and wr.came[0][1]["x-trace-id"] == "t1"
+
+
+def test_a_long_prompt_is_read_at_a_reader_and_nothing_is_released_after_it():
+    wr, rd = Engine(), Engine([HAS_READ])
+    status, _, _, whole = played(lambda node: ask(node.address, chat(5000)), wr=wr, rd=rd)
+    assert (status, whole) == (200, True)
+    assert (len(rd.of("POST")), len(wr.of("POST")), rd.of("DELETE") + wr.of("DELETE")) == (1, 1, [])
+
+
+@pytest.mark.parametrize("what", SPOILT)
+def test_a_spoilt_opening_may_have_run(what):
+    """Replayable goes elsewhere; non-replayable is aborted at once, and never pushed back."""
+
+    async def play(node):
+        first = await ask(node.address, chat(100, group="pay", trace="p1"))
+        return first, await ask(node.address, chat(100, group="ask", trace="p2"))
+
+    one, two = Engine([SPOILT[what]], [STREAM]), Engine([SPOILT[what]], [STREAM])
+    (status, *_), (later, _, body, whole) = played(play, wr1=one, wr2=two)
+    assert status == 504 and (later, body, whole) == (200, EVENT + EVENT + END, True)
+    assert [fields["x-trace-id"] for _, fields in one.came + two.came].count("p1") == 1
+
+
+@pytest.mark.parametrize("after", [[CLOSE], [b"zz\r\nnoise"], [chunk(b"noise\n\n")], [HANG]])
+def test_a_stream_that_breaks_ends_without_a_last_chunk(after):
+    wr = Engine([HEAD + chunk(EVENT), 0.05, *after])
+    status, _, body, whole = played(lambda node: ask(node.address, chat(100)), wr=wr)
+    assert (status, body, whole) == (200, EVENT, False)
+
+
+def test_a_client_that_leaves_takes_its_forward_along_and_what_is_held():
+    async def play(node):
+        async with Client(node.address) as client:
+            await client.send(chat(5000))
+            await node.until(lambda: rd.of("POST"))
+        await node.until(lambda: rd.left and rd.of("DELETE") and not node.host.in_hand)
+
+    rd = Engine([HANG])
+    played(play, rd=rd, wr=Engine())
+    assert rd.of("DELETE") == ["DELETE /bootstrap/rooms/a1 HTTP/1.1"]
+
+
+def test_a_release_goes_by_way_of_another_engine_where_its_holder_is_gone():
+    async def play(node):
+        async with Client(node.address) as client:
+            await client.send(chat(5000))
+            await node.until(lambda: rd.of("POST"))
+            node.servers[list(node.engines).index("rd")].close()
+        await node.until(lambda: wr.of("DELETE"))
+
+    rd, wr = Engine([HANG]), Engine()
+    played(play, rd=rd, wr=wr)
+    assert wr.of("DELETE") == ["DELETE /bootstrap/rooms/a1 HTTP/1.1"]
+
+
+def test_an_answer_goes_out_by_the_clients_time():
+    began = time.monotonic()
+    status, *_ = played(lambda node: ask(node.address, chat(100, waits="300")), wr=Engine([HANG]))
+    assert status == 504 and 0.25 < time.monotonic() - began < 0.45
+
+
+def test_what_is_turned_away_everywhere_is_pushed_back_at_once_and_told_when_to_come_back():
+    wr = Engine([TURNED_AWAY])
+    began = time.monotonic()
+    status, fields, *_ = played(lambda node: ask(node.address, chat(100, group="pay")), wr=wr)
+    assert status == 503 and 0 < float(fields["retry-after"]) <= 2.0 and time.monotonic() - began < 0.5
+
+
+def test_no_connection_is_proven_not_run():
+    async def play(node):
+        node.servers[list(node.engines).index("wr1")].close()
+        await asyncio.sleep(0.05)
+        return [(await ask(node.address, chat(100, group="pay", trace=f"t{n}")))[0] for n in range(4)]
+
+    assert played(play, wr1=Engine(), wr2=Engine()) == [200] * 4
+
+
+def test_an_id_that_is_open_is_not_taken_twice():
+    async def play(node):
+        async with Client(node.address) as first:
+            await first.send(chat(100, trace="t1"))
+            await node.until(lambda: wr.came)
+            status, *_ = await ask(node.address, chat(100, trace="t1"))
+            return status, (await first.answer())[0]
+
+    wr = Engine([0.2, STREAM])
+    assert played(play, wr=wr) == (409, 200) and len(wr.came) == 1
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"POST / HT",
+        b"POST / HTTP/1.1\r\nx: " + b"y" * 60_000,
+        chat(Content_Length="-5"),
+        chat(Content_Length="99999999999999999999999"),
+        chat(Content_Length="60000000"),
+        chat(Content_Length="900000"),
+        chat(Transfer_Encoding="chunked"),
+        chat(Transfer_Encoding="chunked", Content_Length=None, body=b"ffffff\r\n" + b"x" * 300_000),
+        chat()[:-50],
+        chat(waits="soon"),
+        b"\x16\x03\x01" * 30,
+    ],
+)
+def test_what_cannot_be_read_gets_an_error_or_a_close_soon(data):
+    async def play(node):
+        async with Client(node.address) as client:
+            await client.send(data)
+            assert await client.closed(within=2.0)
+        assert (await ask(node.address, chat(100)))[0] == 200
+
+    wr = Engine()
+    played(play, wr=wr)
+    assert len(wr.came) == 1
+
+
+def test_silent_connections_give_way_to_clients():
+    async def play(node):
+        accepting = asyncio.create_task(node.door.accept(listening, node._group))
+        silent = [Client(address) for _ in range(30)]
+        for client in silent:
+            await client.__aenter__()
+        began = time.monotonic()
+        status, *_ = await ask(address, chat(100))
+        took = time.monotonic() - began
+        assert node.door.connections <= 8
+        for client in silent:
+            await client.__aexit__()
+        accepting.cancel()
+        return status, took
+
+    from lifthead.node.__main__ import listener
+
+    listening = listener(("127.0.0.1", 0))
+    address = "{}:{}".format(*listening.getsockname())
+    status, took = played(play, wr=Engine(), connections=8, first_within=30.0)
+    listening.close()
+    assert status == 200 and took < 1.5
+
+
+def test_a_slow_client_stops_the_reading_of_its_engine_and_gets_all():
+    events = EVENT * 20_000
+    wr = Engine([HEAD] + [chunk(EVENT * 500)] * 40 + [chunk(END) + b"0\r\n\r\n"])
+
+    async def play(node):
+        async with Client(node.address) as client:
+            await client.send(chat(100))
+            await asyncio.sleep(0.3)
+            return await client.answer()
+
+    assert played(play, wr=wr)[2:] == (events + END, True)
+
+
+# The program.
+
+
+def test_the_program_serves_reads_its_configuration_anew_and_stops_without_losing_a_req(tmp_path):
+    async def play():
+        wr = Engine([0.6, STREAM])
+        server = await asyncio.start_server(wr.connection, "127.0.0.1", 0)
+        at = "{}:{}".format(*server.sockets[0].getsockname())
+        path = tmp_path / "config.json"
+        with __import__("socket").socket() as free:
+            free.bind(("127.0.0.1", 0))
+            listen = f"127.0.0.1:{free.getsockname()[1]}"
+        told = config(listen=listen, known=json.loads(news(target("wr", at))))
+        path.write_text(json.dumps(told))
+        process = subprocess.Popen(
+            [sys.executable, "-B", "-m", "lifthead.node"], env={**os.environ, "NODE_CONFIG": str(path)}
+        )
+        try:
+            async with asyncio.timeout(15):
+                while True:
+                    try:
+                        assert (await ask(listen, b"GET /ready HTTP/1.1\r\nhost: x\r\n\r\n"))[0] == 200
+                        break
+                    except OSError:
+                        await asyncio.sleep(0.05)
+                path.write_text("{")
+                process.send_signal(signal.SIGHUP)
+                await asyncio.sleep(0.1)
+                path.write_text(json.dumps(told))
+                process.send_signal(signal.SIGHUP)
+                async with Client(listen) as client:
+                    await client.send(chat(100))
+                    await asyncio.sleep(0.2)
+                    process.send_signal(signal.SIGTERM)
+                    late, early = await ask(listen, chat(100, trace="late")), await client.answer()
+                while process.poll() is None:
+                    await asyncio.sleep(0.05)
+        finally:
+            process.kill()
+            server.close()
+        return early[0], early[3], late[0], late[3], process.returncode
+
+    assert asyncio.run(play()) == (200, True, 200, True, 0)
