Trust in kept connections goes by what was reset; non-replayable on fresh ones

Trace of 1,176 forwards: of 148 broken on kept connections 138 had no answer at all; none of those had waited under 50 ms by more than 3 in 100, a third of those that had waited 50 to 500 ms. Cause: Link took any kept connection younger than a fixed span (engines/link.py, Link.take), and non-replayable reqs too, whose reset is an abort. Now one reset without an answer halves the span that is trusted, for all engines, and it grows back; a non-replayable writer's forward goes on a fresh connection. Also: no exception of one forward or connection can end the process.

--- a/lifthead/chat/server.py
+++ b/lifthead/chat/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import logging
 import socket
 from collections.abc import Awaitable, Callable
 from typing import Protocol
@@ -18,6 +19,9 @@
 JSON = {"content-type": "application/json"}
 
 
+log = logging.getLogger(__name__)
+
+
 class Bounds(Protocol):
     """What clients may send and hold: bytes, microseconds, and a count of connections."""
 
@@ -163,7 +167,10 @@
             return
         finally:
             self._entering -= 1
-        await self.connection(reader, asyncio.StreamWriter(transport, protocol, reader, loop))
+        try:
+            await self.connection(reader, asyncio.StreamWriter(transport, protocol, reader, loop))
+        except Exception:  # guards all other clients against a fault of ours in this one's connection
+            log.exception("a client's connection")
 
     def _make_room(self) -> bool:
         """Closes the connection that has waited longest without an open req: silent ones first, which sent
--- a/lifthead/engines/link.py
+++ b/lifthead/engines/link.py
@@ -9,6 +9,24 @@
 
 READ = 65_536
 IDLE_FOR = 10.0  # seconds; engines commonly close later
+DOUBLES_IN = 10.0  # seconds in which the trust in kept connections doubles again
+
+
+class Lasting:
+    """How long connections may wait unused. The other end's limit is told, but machines on the way may drop
+    them without a word: the next thing sent is reset then, and may have run. One reset that way halves the
+    span that is trusted; it grows back with time. Times are seconds."""
+
+    def __init__(self, most: float = IDLE_FOR) -> None:
+        self._most = self._trusted = most
+        self._since = 0.0
+
+    def span(self, now: float) -> float:
+        return min(self._trusted * 2 ** min((now - self._since) / DOUBLES_IN, 64), self._most)
+
+    def broke(self, waited: float, now: float) -> None:
+        """A connection that had waited so long was gone when it was used."""
+        self._trusted, self._since = min(waited / 2, self.span(now)), now
 
 
 class UnwrittenError(ConnectionError):
@@ -35,10 +53,13 @@
         self.parser = http1.AnswerParser(*bounds)
         self.idle_since = 0.0
         self.used = False  # an answer came on it before
+        self.waited = 0.0  # seconds unused before it was taken
+        self._came = 0  # bytes before the last sending
 
     async def send(self, data: bytes) -> None:
         """Writes it; UnwrittenError if the connection broke before the last byte was written."""
         self.parser = http1.AnswerParser(*self._bounds)
+        self._came = self.reader.came
         self.writer.write(data)
         while self.writer.transport.get_write_buffer_size() and not self.writer.transport.is_closing():
             await self.writer.drain()
@@ -87,6 +108,11 @@
         whole = parser.complete and not parser.surplus and head is not None and head.keep_alive
         return whole and self.quiet
 
+    @property
+    def answered(self) -> bool:
+        """Whether anything came back for what was sent last."""
+        return self.reader.came > self._came
+
     @property
     def quiet(self) -> bool:
         """Open at both ends, and without bytes that nobody asked for."""
@@ -101,10 +127,14 @@
     """The way to one engine."""
 
     def __init__(
-        self, address: str, connect_within: float, idle_for: float = IDLE_FOR, bounds: tuple[int, ...] = ()
+        self,
+        address: str,
+        connect_within: float,
+        lasting: Lasting | None = None,
+        bounds: tuple[int, ...] = (),
     ) -> None:
         self.address = address
-        self._idle_for = idle_for
+        self._lasting = lasting or Lasting()
         self._bounds = bounds
         self._host, _, port = address.rpartition(":")
         self._port = int(port)
@@ -117,7 +147,8 @@
         now = asyncio.get_running_loop().time()
         while self._idle and not fresh:
             connection = self._idle.pop()
-            if connection.quiet and now - connection.idle_since < self._idle_for:
+            connection.waited = now - connection.idle_since
+            if connection.quiet and connection.waited < self._lasting.span(now):
                 return connection
             connection.abort()
         loop = asyncio.get_running_loop()
@@ -132,7 +163,7 @@
         """Closes what waits unused and could not be used any more: each holds a descriptor."""
         now = asyncio.get_running_loop().time()
         for connection in list(self._idle):
-            if not connection.quiet or now - connection.idle_since >= self._idle_for:
+            if not connection.quiet or now - connection.idle_since >= self._lasting.span(now):
                 self._idle.remove(connection)
                 connection.abort()
 
@@ -157,6 +188,11 @@
         else:
             connection.abort()
 
+    def broke(self, connection: Connection) -> None:
+        """A connection of this link broke under what was sent on it."""
+        if connection.used and not connection.answered:
+            self._lasting.broke(connection.waited, asyncio.get_running_loop().time())
+
     def close(self) -> None:
         while self._idle:
             self._idle.pop().abort()
--- a/lifthead/node/host.py
+++ b/lifthead/node/host.py
@@ -13,10 +13,10 @@
 from lifthead import control, hosting
 from lifthead.chat.server import Reply
 from lifthead.engines.codec import Sight
-from lifthead.engines.link import Connection, Link, UnwrittenError
+from lifthead.engines.link import Connection, Lasting, Link, UnwrittenError
 from lifthead.hosting import Hosting, Out, now
 from lifthead.http1 import HttpError, Message
-from lifthead.interface import LoadReport
+from lifthead.interface import Effect, LoadReport
 from lifthead.node import clients, engines
 from lifthead.node.discovery import News
 from lifthead.node.start import Start
@@ -33,6 +33,7 @@
 class InHand(hosting.InHand):
     """A req that was taken and whose forwards are not all over."""
 
+    group: str
     message: Message
     may_hold: str = ""  # a reader where its state may wait
 
@@ -52,6 +53,7 @@
         self._start = start
         self._open_ids: set[str] = set()
         self._connections = 0  # to engines, in use
+        self._lasting = Lasting(start.idle_close / 1e6 * engines.IDLE_PART)
         self.router = control.Router(self, start.deployment)
 
     # What comes in.
@@ -66,9 +68,8 @@
         self.router.on_engines([entry for entry, _ in news.entries], news.whole)
 
     def _link(self, address: str) -> Link:
-        idle_for = self._start.idle_close / 1e6 * engines.IDLE_PART
         bounds = (engines.HEAD_BYTES, engines.PIECE_BYTES)
-        return Link(address, self._start.connect_within / 1e6, idle_for, bounds)
+        return Link(address, self._start.connect_within / 1e6, self._lasting, bounds)
 
     async def answer(self, message: Message, reply: Reply) -> None:
         """A client's message, from its last byte to the end of its answer."""
@@ -83,7 +84,7 @@
             reply.keep_alive = False
             return reply.whole(problem.status, clients.error(problem.status, "bad_req", problem.said))
         self._next += 1
-        hand = InHand(id=demand.id, reply=reply, message=message)
+        hand = InHand(id=demand.id, reply=reply, group=demand.group, message=message)
         self.in_hand[hand.id] = hand
         self._open_ids.add(client_id)
         self.empty.clear()
@@ -138,21 +139,21 @@
             async with asyncio.timeout((abandon_at - now()) / 1e6) as limit:
                 if out.called_off:
                     raise asyncio.CancelledError
+                # A kept connection that was dropped at the other end can't be told from a forward that ran.
+                may_repeat = out.reading or self._groups[hand.group].effect is Effect.REPLAYABLE
+                connection = await peer.link.take(fresh=not may_repeat)
                 try:
-                    connection = await peer.link.take(fresh=False)
                     sight, note, report = await self._exchange(hand, out, peer, connection, limit, abandon_at)
                 except UnwrittenError:
+                    if not connection.used:
+                        raise
                     # A kept connection that had just been closed at the other end: nothing of it was taken.
-                    sight = Sight.NO_CONNECTION
-                    if connection and connection.used:
-                        connection.abort()
-                        connection = await self._anew(peer)
-                        if connection:
-                            sight, note, report = await self._exchange(
-                                hand, out, peer, connection, limit, abandon_at
-                            )
-                except OSError:
-                    sight = Sight.CUT if connection else Sight.NO_CONNECTION
+                    connection.abort()
+                    connection = None
+                    connection = await peer.link.take(fresh=True)
+                    sight, note, report = await self._exchange(hand, out, peer, connection, limit, abandon_at)
+        except UnwrittenError:
+            sight = Sight.NO_CONNECTION
         except TimeoutError:
             sight = Sight.OUT_OF_TIME if connection else Sight.NO_CONNECTION
             if hand.begun:
@@ -162,22 +163,21 @@
             if not out.called_off:
                 raise  # the process ends
             sight = Sight.CALLED_OFF
-        except (OSError, EOFError):
-            sight = Sight.CUT
+        except OSError:
+            sight = Sight.CUT if connection else Sight.NO_CONNECTION
         except HttpError as problem:
             sight = Sight.STRANGE
             log.info("strange answer of %s: %s", out.engine, problem.said[:120])
+        except Exception:  # guards all other reqs against a fault of ours in this one
+            sight = Sight.CUT
+            log.exception("a forward to %s", out.engine)
         self._connections -= 1
+        if connection and sight is Sight.CUT:
+            peer.link.broke(connection)
         whole = sight in (Sight.READ, Sight.WRITTEN, Sight.TURNED_AWAY, Sight.STATE_GONE)
         await self._part(peer, connection, whole)
         self._over(hand, out, sight, note, report)
 
-    async def _anew(self, peer: Peer) -> Connection | None:
-        try:
-            return await peer.link.take(fresh=True)
-        except (OSError, TimeoutError):
-            return None
-
     async def _exchange(
         self, hand: InHand, out: Out, peer: Peer, connection: Connection, limit: asyncio.Timeout, due_at: int
     ) -> tuple[Sight, int, LoadReport | None]:
