Only engines that were away come back cold; errors count against an engine

Trace of push-backs and strikes: nearly every engine stood as cold, none had restarted. Cause: control.py _first_answer called any engine with strikes cold, and two broken connections in a row strike. Now only one that could not be reached or was silent (Engine.away).

--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -292,9 +292,11 @@
             self._keeps(forward.engine, req, forward.unread or req.prompt, note)
         if ending is Ending.DONE:
             self.streams.add(took - forward.first_took)
-        if ending in (Ending.UNREACHABLE, Ending.BROKEN):
-            # One broken connection says little, one that can't be made that the engine is down.
+        if ending in (Ending.UNREACHABLE, Ending.BROKEN, Ending.ERROR):
+            # One broken connection or error says little, a connection that can't be made that it is down.
+            # Errors count, for an engine that fails at once looks idle and would be sent ever more.
             forward.engine.failures += 1 + (ending is Ending.UNREACHABLE)
+            forward.engine.away |= ending is Ending.UNREACHABLE
             if forward.engine.failures > 1:
                 self._strike(forward.engine, now)
         if final or req.answered or req.began:
@@ -610,7 +612,7 @@
             if not self.may_cancel or peers * 2 > len(role):
                 continue
             self._strike(engine, now)
-            engine.heard_at = now
+            engine.heard_at, engine.away = now, True
             for forward in list(engine.out.values()):
                 if not forward.written_off and (forward.reading or forward.may_repeat):
                     self.host.cancel(forward.req, forward.number)
@@ -643,9 +645,9 @@
         self.pace[work].add(took * 1000 // (forward.backlog + OVERHEAD))
         forward.begun, forward.first_took = True, took
         self._waits_no_more(forward)
-        if engine.strikes:  # back: what fell silent is likely cold, whether or not the list has said so
-            engine.strikes = 0
+        if engine.strikes and engine.away:  # back, and likely cold, whether or not the list has said so
             self._cold(engine, now + self.warm_within)
+        engine.strikes, engine.away = 0, False
 
     # Cold engines.
 
--- a/lifthead/state.py
+++ b/lifthead/state.py
@@ -86,7 +86,8 @@
     kept: dict[str, int] = field(default_factory=dict)  # tokens of a session or beginning, latest last
     strikes: int = 0
     barred: dict[str, int] = field(default_factory=dict)  # endpoint groups that it turned away, until when
-    failures: int = 0  # connections to it that failed since its last first answer
+    failures: int = 0  # errors, and connections to it that failed, since its last first answer
+    away: bool = False  # it could not be reached, or was silent, since its last first answer
     trial_at: int = 0  # while suspect: when the next trial may go
 
 
