--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -154,7 +154,8 @@
         if whole_list:
             named = {entry.engine for entry in entries}
             for engine in self.engines.values():
-                engine.ready = engine.ready and engine.name in named
+                engine.gone = engine.name not in named
+                engine.ready = engine.ready and not engine.gone
         for entry in entries:
             engine = self.engines.get(entry.engine)
             if engine is None:
@@ -167,6 +168,7 @@
                 engine.strikes, engine.failures, engine.report = 0, 0, None
             engine.zone, engine.cell, engine.weight = entry.zone, entry.cell, entry.weight or 1.0
             engine.ready, engine.up_since = entry.readiness == "ready", entry.up_since
+            engine.gone = entry.readiness == "gone"
             if entry.up_since:
                 self._cold(engine, entry.up_since + self.warm_within)
         self.unsettled = True
@@ -346,7 +348,7 @@
         return None
 
     def on_probed(self, name: str, report: LoadReport | None) -> None:
-        if report:
+        if report and name in self.engines:
             self._heed(self.engines[name], report)
 
     # Choosing an engine.
@@ -677,6 +679,11 @@
         if self.ask_again:
             self.ask_again = False
             self.host.watch_engines()
+        for engine in [e for e in self.engines.values() if e.gone and not e.out and not e.tokens]:
+            for key in list(engine.kept):  # where new engines come all day, old ones are forgotten
+                self.keepers.drop(engine, key)
+            self.watched.pop(engine, None)
+            del self.engines[engine.name]
         for pace in self.pace.values() if now // self.window % FORGET == 0 else ():
             pace.halve()  # a jam that is over is forgotten: what is pushed back measures nothing new
         for role in self.warm:
--- a/lifthead/http1.py
+++ b/lifthead/http1.py
@@ -122,6 +122,7 @@
     def on_message_complete(self) -> None:
         self._now.method = self._llhttp.get_method().decode("latin-1")
         self._now.body = b"".join(self._body)
+        self._body = []  # a kept connection holds nothing of what went over it
         self.ready.append(self._now)
         self._begin()
 
--- a/lifthead/node/clients.py
+++ b/lifthead/node/clients.py
@@ -17,7 +17,7 @@
 BODY_BYTES = 262_144  # a body holds so much at most
 FIRST_WITHIN = 2.2  # seconds from a connection's accepting to its first req: an error or a close is owed in 3
 REST_WITHIN = 2_000_000  # microseconds from a head's or a body's first byte to its last
-IDLE_FOR = 30_000_000  # microseconds that a connection without an open req is kept for its client
+IDLE_FOR = 6_000_000  # microseconds that a connection without an open req is kept for its client
 LONGEST = 3_600_000  # milliseconds that a client can say it waits
 CHARS = 4  # a token is so many characters
 
--- a/lifthead/node/host.py
+++ b/lifthead/node/host.py
@@ -25,6 +25,7 @@
 RELEASE_WITHIN = 0.12  # seconds for an engine to answer a release before another is asked
 RELEASE_AT = 3  # engines that are asked at most
 SWEEP_EVERY = 0.5  # seconds
+GONE_FOR = 20_000_000  # microseconds for which an engine that is gone is remembered: it may be back
 
 log = logging.getLogger(__name__)
 
@@ -213,6 +214,7 @@
                 return Sight.CALLED_OFF, 0, None
             if not hand.begun:
                 hand.begun, hand.may_hold = True, ""  # the writer has fetched what was held
+                hand.message.body = b""  # there is no further forward, and streams are long
                 self.router.on_begun(hand.id, out.number, now() - out.sent_at)
                 hand.reply.begin({}, passes)
                 room = True
@@ -274,10 +276,19 @@
         self.router.on_probed(engine, report)
 
     async def look_after_links(self) -> None:
+        """Closes what waits unused for too long, and forgets engines that are gone: new ones come all day."""
         while True:
             await asyncio.sleep(SWEEP_EVERY)
-            for peer in self.peers.values():
+            past, in_use = now() - GONE_FOR, self._in_use()
+            for name, peer in list(self.peers.items()):
                 peer.link.sweep()
+                if peer.readiness == "gone" and peer.told_at < past and name not in in_use:
+                    peer.link.close()
+                    del self.peers[name]
+
+    def _in_use(self) -> set[str]:
+        hands = self.in_hand.values()
+        return {hand.out.engine for hand in hands if hand.out} | {hand.may_hold for hand in hands}
 
     # The end of a req.
 
--- a/lifthead/state.py
+++ b/lifthead/state.py
@@ -71,6 +71,7 @@
     memory: int
     up_since: int
     ready: bool
+    gone: bool = False  # for good, so far as the list tells
     tokens: int = 0  # of this router's forwards: prompt plus allowed output
     unread: int = 0  # of this router's forwards: prompt tokens not known to be read
     out: dict[tuple[int, int], Forward] = field(default_factory=dict)  # no first answer yet
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -502,3 +502,59 @@
     bench.pass_time(4 * control.FORGET * bench.router.window)
     later = bench.req(6000, session="z", beginning="")
     assert bench.answers(later) == [] and bench.last(later) == "R1"
+
+
+def test_engines_whose_connections_break_are_suspect_and_come_back_warm():
+    bench = Bench(entry("W1"))
+    for _ in range(2):
+        bench.end(bench.req(prompt=100), Ending.BROKEN)
+    engine = bench.router.engines["W1"]
+    assert engine.strikes == 1 and not engine.away
+    bench.clock = engine.trial_at
+    req_id = bench.req(prompt=100)
+    assert bench.last(req_id) == "W1"
+    bench.begin(req_id)
+    assert not engine.strikes and bench.clock >= engine.cold_until
+
+
+def test_an_engine_that_could_not_be_reached_comes_back_cold():
+    bench = Bench(entry("W1"))
+    bench.end(bench.req(prompt=100), Ending.UNREACHABLE)
+    engine = bench.router.engines["W1"]
+    bench.clock = engine.trial_at
+    bench.begin(bench.req(prompt=100))
+    assert not engine.strikes and not engine.away and bench.clock < engine.cold_until
+
+
+def test_an_engine_that_fails_at_once_does_not_draw_more_and_more():
+    bench = Bench(entry("W1"), entry("W2"))
+    for _ in range(40):
+        req_id = bench.req(prompt=100)
+        while bench.last(req_id) == "W1" and not bench.answers(req_id):
+            sent = len(bench.sent[req_id])
+            bench.end(req_id, Ending.ERROR, took=1000)
+            if len(bench.sent[req_id]) == sent:
+                break
+    assert sum(sent[0] == "W1" for sent in bench.sent.values()) <= 4
+
+
+def test_engines_that_are_gone_are_forgotten_once_nothing_is_out_there():
+    bench = Bench(entry("R1"), entry("R2"), entry("W1"))
+    out = bench.req()
+    gone = bench.last(out)
+    bench.router.on_engines([entry(gone, readiness="gone")], whole_list=False)
+    bench.pass_time(3_000_000)
+    assert gone in bench.router.engines
+    bench.end(out, Ending.READ)
+    bench.begin(out)
+    bench.end(out, Ending.DONE)
+    bench.pass_time(3_000_000)
+    assert gone not in bench.router.engines
+    assert [engine.name for engine in bench.router.keepers.of("p", "s")] == ["W1"]
+    bench.router.on_probed(gone, report(queued=1))
+    for number in range(50):
+        name = f"R9{number}"
+        bench.router.on_engines([entry(name)], whole_list=False)
+        bench.router.on_engines([entry("R1"), entry("R2"), entry("W1")], whole_list=True)
+    bench.pass_time(3_000_000)
+    assert len(bench.router.engines) == 3
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -9,10 +9,10 @@
 import pytest
 
 from lifthead.engines.codec import Sight
-from lifthead.engines.link import Link
+from lifthead.engines.link import Lasting, Link
 from lifthead.http1 import AnswerParser, HttpError, Message, ReqParser
 from lifthead.interface import Effect, Ending, LoadReport
-from lifthead.node import clients, engines, start
+from lifthead.node import clients, engines, host, start
 from lifthead.node.discovery import Follower, StrangeNewsError, news_of
 from lifthead.terms import deployment_of, flat
 from tests.platform import (
@@ -251,6 +251,49 @@
     assert asyncio.run(play()) == 0
 
 
+def test_trust_in_kept_connections_halves_with_a_reset_and_grows_back():
+    lasting = Lasting(8.0)
+    assert lasting.span(1000.0) == 8.0
+    lasting.broke(0.4, 1000.0)
+    assert lasting.span(1000.0) == 0.2
+    lasting.broke(5.0, 1000.0)  # one that was taken before
+    assert lasting.span(1000.0) == 0.2
+    assert lasting.span(1010.0) == pytest.approx(0.4) and lasting.span(2000.0) == 8.0
+
+
+def test_a_kept_connection_that_is_reset_at_the_next_req_costs_trust_and_no_req():
+    class Forgetful(Engine):
+        """Drops each connection when a second req comes on it."""
+
+        async def connection(self, reader, writer):
+            self.connections += 1
+            await self._one(reader, writer)
+            head = await reader.read(1000)
+            self.dropped += head != b""
+            writer.close()
+
+        dropped = 0
+
+    async def play(node):
+        for n in range(6):
+            assert (await ask(node.address, chat(100, trace=f"t{n}")))[0] == 200
+            await asyncio.sleep(0.1)
+
+    one, two = Forgetful(), Forgetful()
+    played(play, wr1=one, wr2=two)
+    assert one.dropped + two.dropped == 1 and len(one.came + two.came) == 6
+
+
+def test_a_non_replayable_req_goes_to_its_writer_on_a_fresh_connection():
+    async def play(node):
+        for n in range(3):
+            assert (await ask(node.address, chat(5000, group="pay", trace=f"t{n}")))[0] == 200
+        return rd.connections, wr.connections
+
+    rd, wr = Engine([HAS_READ]), Engine()
+    assert played(play, rd=rd, wr=wr) == (1, 3)
+
+
 # Discovery.
 
 
@@ -457,6 +500,25 @@
     assert played(play, wr=wr)[2:] == (events + END, True)
 
 
+def test_engines_that_are_gone_are_forgotten(monkeypatch):
+    monkeypatch.setattr(host, "GONE_FOR", 100_000)
+    monkeypatch.setattr(host, "SWEEP_EVERY", 0.02)
+
+    async def play(node):
+        sweeping = asyncio.create_task(node.host.look_after_links())
+        async with Client(node.address) as client:
+            await client.send(chat(100))
+            await node.until(lambda: wr.came)
+            node.tell(target("wr", node.listed["wr"], "gone"), target("wr2", "127.0.0.1:1", "gone"))
+            await node.until(lambda: set(node.host.peers) == {"wr"})
+            assert (await client.answer())[3]
+        await node.until(lambda: not node.host.peers)
+        sweeping.cancel()
+
+    wr = Engine([0.4, STREAM])
+    played(play, wr=wr)
+
+
 # The program.
 
 
