A connection reset before all was written is opened again; asyncio's own loop

Trace: 27 forwards ended NO_CONNECTION, each of which strikes its engine out and brings it back as cold for 11 s; 57 new connections had been reset as they opened. Cause: node/host.py _carry told the first such reset as no connection. Now a connection reset before all of the forward was written is opened again, twice at most; what is refused or never comes up is told at once. Ruled in by reading: uvloop writes at the end of the loop's turn, so Connection.send could take a reset after the last byte for one before it, which would let a non-replayable req be sent twice.

--- a/lifthead/engines/link.py
+++ b/lifthead/engines/link.py
@@ -57,15 +57,19 @@
         self._came = 0  # bytes before the last sending
 
     async def send(self, data: bytes) -> None:
-        """Writes it; UnwrittenError if the connection broke before the last byte was written."""
+        """Writes it; UnwrittenError if the connection broke before the last byte was written, as far as that
+        can be known: when in doubt it was."""
+        transport = self.writer.transport
+        if transport.is_closing() or self.reader.at_eof():
+            raise UnwrittenError("closed before it was written to")
         self.parser = http1.AnswerParser(*self._bounds)
         self._came = self.reader.came
         self.writer.write(data)
-        while self.writer.transport.get_write_buffer_size() and not self.writer.transport.is_closing():
-            await self.writer.drain()
-            await asyncio.sleep(0.001)  # the rest waits for the peer to take it
-        if self.writer.transport.is_closing():
+        if transport.is_closing():  # asyncio's own loop writes at once: it was this that failed
             raise UnwrittenError("broke while it was written to")
+        while transport.get_write_buffer_size():  # the rest waits for the peer to take what is before it
+            await self.writer.drain()
+            await asyncio.sleep(0.001)
 
     async def _read(self) -> bytes:
         data = await self.reader.read(READ)
@@ -152,13 +156,22 @@
                 return connection
             connection.abort()
         loop = asyncio.get_running_loop()
-        reader = Inflow(limit=READ, loop=loop)
         async with asyncio.timeout(self._connect_within):
-            transport, protocol = await loop.create_connection(
-                lambda: asyncio.StreamReaderProtocol(reader, loop=loop), self._host, self._port
-            )
+            try:
+                reader, transport, protocol = await self._connect(loop)
+            except ConnectionResetError:  # reset as it opened, which says less than one that is refused
+                reader, transport, protocol = await self._connect(loop)
         return Connection(reader, asyncio.StreamWriter(transport, protocol, reader, loop), self._bounds)
 
+    async def _connect(
+        self, loop: asyncio.AbstractEventLoop
+    ) -> tuple[Inflow, asyncio.Transport, asyncio.StreamReaderProtocol]:
+        reader = Inflow(limit=READ, loop=loop)
+        transport, protocol = await loop.create_connection(
+            lambda: asyncio.StreamReaderProtocol(reader, loop=loop), self._host, self._port
+        )
+        return reader, transport, protocol
+
     def sweep(self) -> None:
         """Closes what waits unused and could not be used any more: each holds a descriptor."""
         now = asyncio.get_running_loop().time()
--- a/lifthead/node/__main__.py
+++ b/lifthead/node/__main__.py
@@ -10,8 +10,6 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-import uvloop
-
 from lifthead.chat.server import Clients
 from lifthead.node import clients, start
 from lifthead.node.discovery import Follower
@@ -102,7 +100,7 @@
         told = start.read(path)
     except StartError as problem:
         sys.exit(f"lifthead.node: {problem}")
-    uvloop.run(serve(path, told))
+    asyncio.run(serve(path, told))
 
 
 if __name__ == "__main__":
--- a/lifthead/node/engines.py
+++ b/lifthead/node/engines.py
@@ -18,6 +18,7 @@
 PIECE_BYTES = 262_144  # of a chunk or an event; more is none
 ANSWER_BYTES = 262_144  # of an answer that is not a stream
 SILENT_FOR = 3.8  # seconds that a begun stream may bring nothing; its client may be left waiting for 5
+CONNECT_AGAIN = 2  # more connections for a forward, after one that was reset before all of it was written
 IDLE_PART = 0.6  # of the time after which the other end closes an idle connection
 NEVER_RAN = "x-never-ran"
 PASSED_ON = ("content-type", "x-qos", "x-object", "x-props", "x-customer", "x-second-try")
--- a/lifthead/node/host.py
+++ b/lifthead/node/host.py
@@ -142,19 +142,17 @@
                     raise asyncio.CancelledError
                 # A kept connection that was dropped at the other end can't be told from a forward that ran.
                 may_repeat = out.reading or self._groups[hand.group].effect is Effect.REPLAYABLE
-                connection = await peer.link.take(fresh=not may_repeat)
-                try:
-                    sight, note, report = await self._exchange(hand, out, peer, connection, limit, abandon_at)
-                except UnwrittenError:
-                    if not connection.used:
-                        raise
-                    # A kept connection that had just been closed at the other end: nothing of it was taken.
-                    connection.abort()
+                for fresh in (not may_repeat, *[True] * engines.CONNECT_AGAIN):
                     connection = None
-                    connection = await peer.link.take(fresh=True)
-                    sight, note, report = await self._exchange(hand, out, peer, connection, limit, abandon_at)
-        except UnwrittenError:
-            sight = Sight.NO_CONNECTION
+                    connection = await peer.link.take(fresh)
+                    try:
+                        sight, note, report = await self._exchange(
+                            hand, out, peer, connection, limit, abandon_at
+                        )
+                        break
+                    except UnwrittenError:  # reset before all of it was written: none of it was taken
+                        sight = Sight.NO_CONNECTION
+                        connection.abort()
         except TimeoutError:
             sight = Sight.OUT_OF_TIME if connection else Sight.NO_CONNECTION
             if hand.begun:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -2,6 +2,8 @@
 import json
 import os
 import signal
+import socket
+import struct
 import subprocess
 import sys
 import time
@@ -284,6 +286,50 @@
     assert one.dropped + two.dropped == 1 and len(one.came + two.came) == 6
 
 
+def test_a_connection_that_is_reset_as_it_opens_costs_no_forward():
+    class Rude(Engine):
+        async def connection(self, reader, writer):
+            if self.connections < 2:
+                self.connections += 1
+                linger = struct.pack("ii", 1, 0)
+                writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                return writer.transport.abort()
+            return await super().connection(reader, writer)
+
+    async def play(node):
+        link = node.host.peers["wr"].link
+        take = link.take
+
+        async def late(fresh):
+            connection = await take(fresh)
+            await asyncio.sleep(0.05)  # so that the reset is there before anything is written
+            return connection
+
+        link.take = late
+        return (await ask(node.address, chat(100, group="pay")))[0], node.host.router.engines["wr"].failures
+
+    wr = Rude()
+    assert played(play, wr=wr) == (200, 0) and len(wr.came) == 1
+
+
+def test_a_reset_after_the_whole_req_was_taken_may_have_run():
+    class Abrupt(Engine):
+        async def connection(self, reader, writer):
+            self.scripts = [[]]
+            await self._one(reader, writer)
+            linger = struct.pack("ii", 1, 0)
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+
+    async def play(node):
+        return [(await ask(node.address, chat(100, group="pay", trace=f"t{n}")))[0] for n in range(5)]
+
+    one, two = Abrupt(), Abrupt()
+    assert 503 not in played(play, wr1=one, wr2=two)[:2]
+    ids = [fields["x-trace-id"] for _, fields in one.came + two.came]
+    assert ids and len(ids) == len(set(ids))
+
+
 def test_a_non_replayable_req_goes_to_its_writer_on_a_fresh_connection():
     async def play(node):
         for n in range(3):
@@ -528,7 +574,7 @@
         server = await asyncio.start_server(wr.connection, "127.0.0.1", 0)
         at = "{}:{}".format(*server.sockets[0].getsockname())
         path = tmp_path / "config.json"
-        with __import__("socket").socket() as free:
+        with socket.socket() as free:
             free.bind(("127.0.0.1", 0))
             listen = f"127.0.0.1:{free.getsockname()[1]}"
         told = config(listen=listen, known=json.loads(news(target("wr", at))))
