--- a/lifthead/node/host.py
+++ b/lifthead/node/host.py
@@ -260,19 +260,30 @@
             key=lambda name: -self.peers[name].heard_at,
         )
         for name in [holder, *others][:RELEASE_AT]:
-            if await self.peers[name].link.ask(engines.release(client_id), RELEASE_WITHIN) is not None:
+            if await self._ask(name, engines.release(client_id), RELEASE_WITHIN) is not None:
                 return
         log.warning("no engine answered the release of %s", client_id)
 
     async def _probe(self, engine: str) -> None:
-        self._make_room()
-        answer = await self.peers[engine].link.ask(engines.PROBE, ASK_WITHIN)
+        answer = await self._ask(engine, engines.PROBE, ASK_WITHIN)
         report = None
         if answer:
             head, body = answer
             report = engines.report_with(head.headers) or engines.report_of(body.decode("latin-1"))
         self.router.on_probed(engine, report)
 
+    async def _ask(self, engine: str, data: bytes, within: float) -> tuple[Message, bytes] | None:
+        """One short question; None if it was not answered in time."""
+        peer = self.peers.get(engine)
+        if peer is None:
+            return None  # gone, and forgotten since
+        self._connections += 1
+        try:
+            self._make_room()
+            return await peer.link.ask(data, within)
+        finally:
+            self._connections -= 1
+
     async def look_after_links(self) -> None:
         """Closes what waits unused for too long, and forgets engines that are gone: new ones come all day."""
         while True:
--- a/tests/platform.py
+++ b/tests/platform.py
@@ -124,15 +124,15 @@
 class Node:
     """`engines`: an Engine by uid; those whose uid begins with rd read, the others write."""
 
-    def __init__(self, first_within=0.5, connections=50, settings=None, **engines):
+    def __init__(self, first_within=0.5, connections=50, sockets=1024, **engines):
         self.engines, self.servers, self.lasting = engines, [], []
         self.first_within, self.connections = first_within, connections
-        self.settings = SETTINGS | (settings or {})
+        self.sockets = sockets
 
     async def __aenter__(self):
         self._group = await asyncio.TaskGroup().__aenter__()
         self.listed = {uid: await self._listen(engine.connection) for uid, engine in self.engines.items()}
-        start = start_of(json.dumps(config(settings=self.settings)).encode())
+        start = start_of(json.dumps(config(limits={"sockets": self.sockets})).encode())
         self.host = Host(replace(start, clients=self.connections), self._group)
         self.tell(*(target(uid, at) for uid, at in self.listed.items()))
         bounds = Bounds(self.connections, header_within=300_000, body_within=300_000)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -565,6 +565,24 @@
     played(play, wr=wr)
 
 
+def test_connections_to_engines_stay_within_their_part_of_the_descriptors():
+    async def play(node):
+        most = node.host._start.engines
+        for n in range(3 * most):
+            link = node.host.peers[f"wr{n % 4}"].link
+            connection = await link.take(fresh=True)
+            await connection.send(engines.PROBE)
+            await connection.rest()
+            link.give(connection)
+            if n % 10 == 0:
+                node.host._make_room()
+        await asyncio.gather(*(node.host._ask(f"wr{n % 4}", engines.PROBE, 2.0) for n in range(20)))
+        return most, sum(peer.link.idle for peer in node.host.peers.values())
+
+    most, idle = played(play, **{f"wr{n}": Engine([HAS_READ]) for n in range(4)}, sockets=100)
+    assert idle <= most
+
+
 # The program.
 
 
