--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -9,15 +9,7 @@
 import time
 
 import pytest
-
-from lifthead.engines.codec import Sight
-from lifthead.engines.link import Lasting, Link
-from lifthead.http1 import AnswerParser, HttpError, Message, ReqParser
-from lifthead.interface import Effect, Ending, LoadReport
-from lifthead.node import clients, engines, host, start
-from lifthead.node.discovery import Follower, StrangeNewsError, news_of
-from lifthead.terms import deployment_of, flat
-from tests.platform import (
+from onenode import (
     CLOSE,
     END,
     EVENT,
@@ -38,6 +30,14 @@
     target,
 )  # fmt: skip
 
+from lifthead.engines.codec import Sight
+from lifthead.engines.link import Lasting, Link
+from lifthead.http1 import AnswerParser, HttpError, Message, ReqParser
+from lifthead.interface import Effect, Ending, LoadReport
+from lifthead.node import clients, engines, host, start
+from lifthead.node.discovery import Follower, StrangeNewsError, news_of
+from lifthead.terms import deployment_of, flat
+
 SPOILT = {
     "noise": b"\x00\x17noise\r\n\r\n" * 9,
     "endless head": b"HTTP/1.1 200 OK\r\nx: " + b"y" * 40_000,
