--- a/lifthead/node/__main__.py
+++ b/lifthead/node/__main__.py
@@ -59,7 +59,7 @@
         lasting = [
             tasks.create_task(follower.follow()),
             tasks.create_task(host.look_after_links()),
-            tasks.create_task(read_again(path, again, follower, door)),
+            tasks.create_task(read_again(path, again, follower, door, host)),
         ]
         accepting = tasks.create_task(door.accept(listening, tasks))
         gc.collect()
@@ -78,7 +78,9 @@
     log.info("%s stopped", told.name)
 
 
-async def read_again(path: Path, again: asyncio.Event, follower: Follower, door: Clients) -> None:
+async def read_again(
+    path: Path, again: asyncio.Event, follower: Follower, door: Clients, host: Host
+) -> None:
     """A new configuration under the same path. One that can't be used leaves all as it is."""
     while True:
         await again.wait()
@@ -91,6 +93,7 @@
         log.info("new configuration: discovery is at %s:%d", *told.discovery)
         follower.turn_to(told.discovery)
         door.limits = Bounds(told.clients)
+        host.most_connections = told.engines
 
 
 def main() -> None:
--- a/lifthead/node/host.py
+++ b/lifthead/node/host.py
@@ -54,6 +54,7 @@
         self._start = start
         self._open_ids: set[str] = set()
         self._connections = 0  # to engines, in use
+        self.most_connections = start.engines
         self._lasting = Lasting(start.idle_close / 1e6 * engines.IDLE_PART)
         self.router = control.Router(self, start.deployment)
 
@@ -247,7 +248,7 @@
     def _make_room(self) -> None:
         """Engines' connections stay within their part of the descriptors: the longest unused one goes."""
         links = [peer.link for peer in self.peers.values()]
-        while self._connections + sum(link.idle for link in links) > self._start.engines:
+        while self._connections + sum(link.idle for link in links) > self.most_connections:
             oldest = min(links, key=lambda link: link.idle_since)
             if not oldest.idle:
                 return
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -35,6 +35,7 @@
 from lifthead.http1 import AnswerParser, HttpError, Message, ReqParser
 from lifthead.interface import Effect, Ending, LoadReport
 from lifthead.node import clients, engines, host, start
+from lifthead.node.__main__ import read_again
 from lifthead.node.discovery import Follower, StrangeNewsError, news_of
 from lifthead.terms import deployment_of, flat
 
@@ -567,7 +568,7 @@
 
 def test_connections_to_engines_stay_within_their_part_of_the_descriptors():
     async def play(node):
-        most = node.host._start.engines
+        most = node.host.most_connections
         for n in range(3 * most):
             link = node.host.peers[f"wr{n % 4}"].link
             connection = await link.take(fresh=True)
@@ -586,6 +587,24 @@
 # The program.
 
 
+def test_a_new_configuration_changes_discovery_and_descriptors(tmp_path):
+    async def play(node):
+        again, follower = asyncio.Event(), Follower(("127.0.0.1", 1), 0, node.host.on_news)
+        path = tmp_path / "config.json"
+        task = asyncio.create_task(read_again(path, again, follower, node.door, node.host))
+        for text in ("{", json.dumps(config(discovery="127.0.0.1:2", limits={"sockets": 224}))):
+            before = (follower.address, node.host.most_connections)
+            path.write_text(text)
+            again.set()
+            await asyncio.sleep(0.05)
+        task.cancel()
+        now = (follower.address, node.door.limits.connections, node.host.most_connections)
+        return before, now
+
+    before, now = played(play, wr=Engine())
+    assert before[0] == ("127.0.0.1", 1) and now == (("127.0.0.1", 2), 110, 90)
+
+
 def test_the_program_serves_reads_its_configuration_anew_and_stops_without_losing_a_req(tmp_path):
     async def play():
         wr = Engine([0.6, STREAM])
