Read once more: one table of endings, one reading of lines and addresses, shared host pieces

What each calls now: - node/engines.py ENDINGS is engines/codec.py's with its one difference (what came spoilt is an error). - http1.Lines reads an answer's lines for engines/listing.py and node/discovery.py; http1.address_of checks addresses for both lists and node/start.py. The two bounds on a line stay as they were. - hosting.py: telling the module of a req, which connections may be used again after what was seen, and starts told in wall time, each written in both hosts before. A fault while the module is told no longer leaves that req as the owner of later wake-ups (try/finally). - engines/link.py: opening again stood at two levels, in Link.take and in node/host.py _carry, up to six connections where docs/node.md says three. Now only _carry does; Link.take tells a reset at opening as UnwrittenError. No assertion changed.

Checked: make test, 1,046 passed. Left: Peer lists are summed for each forward and probe (node/host.py _make_room), some microseconds at this size; Engine.away is not reset when an engine is listed with a new start, which is harmless as that marks it cold anyway.

--- a/lifthead/chat/server.py
+++ b/lifthead/chat/server.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import math
 import socket
 from collections.abc import Awaitable, Callable
 from typing import Protocol
@@ -14,11 +15,10 @@
 LINGER = 1.0  # seconds
 LINGER_BYTES = 1 << 20  # of a peer that goes on sending what is not taken
 ACCEPT_AGAIN = 0.02  # seconds, while no descriptor is to be had
-SILENT_FOR = 0.1  # seconds after which a connection without a byte gives way to a new one
+SILENT_FOR = 0.1  # seconds after which a connection without an open req may give way to a new one
 FIRST_WITHIN = 1.0  # seconds for the first req of a connection that was accepted before a stop
 JSON = {"content-type": "application/json"}
 
-
 log = logging.getLogger(__name__)
 
 
@@ -256,7 +256,8 @@
         each have their time."""
         limits, since, in_head = self.limits, None, True
         loop = asyncio.get_running_loop()
-        at_all = loop.time() + (self._first_within or limits.idle_for / 1e6)
+        first = idle is self._fresh and self._first_within
+        latest = loop.time() + first if first else math.inf
         while not parser.ready:
             if parser.partial:
                 if since is None or in_head != parser.in_head:
@@ -265,10 +266,8 @@
             else:
                 until = loop.time() + limits.idle_for / 1e6
                 idle[writer] = loop.time()
-            if idle is self._fresh and self._first_within:
-                until = min(until, at_all)
             try:
-                async with asyncio.timeout_at(until):
+                async with asyncio.timeout_at(min(until, latest)):
                     data = await reader.read(READ)
             except TimeoutError:
                 if parser.partial:
--- a/lifthead/daemon/host.py
+++ b/lifthead/daemon/host.py
@@ -22,7 +22,7 @@
 from lifthead.engines import codec
 from lifthead.engines.codec import ENDINGS, ListNews, Sight, StrangeError
 from lifthead.engines.link import Connection, Link
-from lifthead.hosting import Hosting, now
+from lifthead.hosting import Hosting, now, up_since_of, wall_ahead
 from lifthead.http1 import HttpError
 from lifthead.interface import Demand, Deployment, Effect, Ending, EngineEntry, LoadReport
 from lifthead.members.weight import Lately
@@ -116,7 +116,7 @@
         self._resumes = resumes
         self._bill = bill
         self._effects = {group.name: group.effect for group in deployment.groups.values()}
-        self._wall = time.time_ns() // 1000 - now()
+        self._wall = wall_ahead()
         self._life = (
             f"{time.time_ns() // 1_000_000:x}"  # engines must not take this life's reqs for the last one's
         )
@@ -135,7 +135,7 @@
         for listed in news.engines:
             peer = self._note(listed.name, listed.address, listed.kind, listed.readiness, at)
             peer.drains_by = listed.drains_by - self._wall if listed.drains_by else 0
-            up_since = max(listed.started_at - self._wall, 1) if listed.started_at else 0
+            up_since = up_since_of(listed.started_at, self._wall)
             entries.append(
                 EngineEntry(
                     listed.name,
@@ -179,10 +179,9 @@
         self._forget(hand)
 
     def _tell(self, hand: InHand, budget: int, prompt: int, max_out: int) -> None:
-        """Has the module place a leg of the req; wake-ups that it asks for meanwhile are the req's."""
+        """Has the module place a leg of the req."""
         asked = hand.asked
-        self._taking = hand
-        self.router.on_req(
+        self._tell_module(
             Demand(
                 hand.id,
                 asked.group,
@@ -196,9 +195,9 @@
                 0,
                 asked.again or hand.legs > 0,
                 *hand.ran,
-            )
+            ),
+            hand,
         )
-        self._taking = None
 
     def _left(self, hand: InHand) -> None:
         """The client went away: what is out for it is called off, what is held is let go of."""
@@ -284,8 +283,7 @@
         except (HttpError, StrangeError, SeamError) as problem:
             sight = Sight.STRANGE
             self._log.warning("strange answer", req=hand.name, engine=out.engine, said=str(problem)[:200])
-        whole = sight in (Sight.READ, Sight.WRITTEN, Sight.TURNED_AWAY, Sight.STATE_GONE)
-        await self._part(peer, connection, whole)
+        await self._part(peer, connection, sight)
         if out.reading and connection and sight not in (Sight.READ, Sight.TURNED_AWAY):
             # Guards rule 5 where the reader answers after the req was given up.
             self._release(out.engine, name)
--- a/lifthead/engines/codec.py
+++ b/lifthead/engines/codec.py
@@ -337,9 +337,10 @@
     for engine in news.engines:
         if engine.readiness not in ("ready", "draining", "gone"):
             raise StrangeError(f"engine {engine.name}: readiness {engine.readiness!r:.40}")
-        host, _, port = engine.address.rpartition(":")
-        if not host or not port.isdigit():
-            raise StrangeError(f"engine {engine.name}: address {engine.address!r:.40}")
+        try:
+            http1.address_of(engine.address)
+        except ValueError as problem:
+            raise StrangeError(f"engine {engine.name}: {problem}") from None
         if not (math.isfinite(engine.weight) and engine.weight > 0):
             raise StrangeError(f"engine {engine.name}: weight {engine.weight}")
     return news
--- a/lifthead/engines/link.py
+++ b/lifthead/engines/link.py
@@ -156,21 +156,15 @@
                 return connection
             connection.abort()
         loop = asyncio.get_running_loop()
-        async with asyncio.timeout(self._connect_within):
-            try:
-                reader, transport, protocol = await self._connect(loop)
-            except ConnectionResetError:  # reset as it opened, which says less than one that is refused
-                reader, transport, protocol = await self._connect(loop)
-        return Connection(reader, asyncio.StreamWriter(transport, protocol, reader, loop), self._bounds)
-
-    async def _connect(
-        self, loop: asyncio.AbstractEventLoop
-    ) -> tuple[Inflow, asyncio.Transport, asyncio.StreamReaderProtocol]:
         reader = Inflow(limit=READ, loop=loop)
-        transport, protocol = await loop.create_connection(
-            lambda: asyncio.StreamReaderProtocol(reader, loop=loop), self._host, self._port
-        )
-        return reader, transport, protocol
+        try:
+            async with asyncio.timeout(self._connect_within):
+                transport, protocol = await loop.create_connection(
+                    lambda: asyncio.StreamReaderProtocol(reader, loop=loop), self._host, self._port
+                )
+        except ConnectionResetError:  # which says less than one that is refused
+            raise UnwrittenError("reset as it opened") from None
+        return Connection(reader, asyncio.StreamWriter(transport, protocol, reader, loop), self._bounds)
 
     def sweep(self) -> None:
         """Closes what waits unused and could not be used any more: each holds a descriptor."""
--- a/lifthead/engines/listing.py
+++ b/lifthead/engines/listing.py
@@ -27,16 +27,12 @@
         try:
             reader, writer = await asyncio.open_connection(host, int(port))
             writer.write(http1.head(f"GET /{path} HTTP/1.1", {"host": address, "x-router": router}))
-            parser, left = http1.AnswerParser(), b""
-            while not parser.complete:
+            lines = http1.Lines(MOST_LINE)
+            while not lines.answer.complete:
                 data = await reader.read(READ)
                 if not data:
                     break
-                parser.feed(data)
-                *lines, left = (left + parser.body()).split(b"\n")
-                if len(left) > MOST_LINE:
-                    raise StrangeError(f"a line is over {MOST_LINE} bytes")
-                for line in filter(None, lines):
+                for line in filter(None, lines.feed(data)):
                     try:
                         news = list_news(line)
                     except StrangeError as problem:
@@ -46,7 +42,7 @@
                         continue
                     on_news(news)
                     wait = AGAIN_AFTER
-        except (OSError, HttpError, StrangeError) as problem:
+        except (OSError, HttpError) as problem:
             log.warning("the list of engines can't be followed: the last one stays", said=str(problem)[:200])
         finally:
             if writer:
--- a/lifthead/hosting.py
+++ b/lifthead/hosting.py
@@ -16,8 +16,12 @@
 
 from lifthead import control
 from lifthead.chat.server import Reply
+from lifthead.engines.codec import Sight
 from lifthead.engines.link import Connection, Link
-from lifthead.interface import Deployment
+from lifthead.interface import Demand, Deployment
+
+# Sights of a whole answer, after which its connection may be used again.
+WHOLE = (Sight.READ, Sight.WRITTEN, Sight.TURNED_AWAY, Sight.STATE_GONE)
 
 
 def now() -> int:
@@ -25,6 +29,16 @@
     return time.monotonic_ns() // 1000
 
 
+def wall_ahead() -> int:
+    """What the wall clock, which machines share, is ahead of this machine's own."""
+    return time.time_ns() // 1000 - now()
+
+
+def up_since_of(told: int, ahead: int) -> int:
+    """A start told in wall time, on this machine's own clock; 0 (long ago) stays 0."""
+    return max(told - ahead, 1) if told else 0
+
+
 @dataclass(slots=True, eq=False)
 class Out:
     """A forward that is out."""
@@ -89,6 +103,14 @@
     def _carry(self, hand: Any, out: Any, abandon_at: int) -> Coroutine[Any, Any, None]:
         raise NotImplementedError
 
+    def _tell_module(self, demand: Demand, hand: InHand) -> None:
+        """Has the module place a req; wake-ups that it asks for meanwhile are the req's."""
+        self._taking = hand
+        try:
+            self.router.on_req(demand)
+        finally:
+            self._taking = None
+
     # The list of engines.
 
     def _note(self, name: str, address: str, kind: str, readiness: str, at: int) -> Any:
@@ -147,9 +169,9 @@
 
     # The end of a forward and of a req.
 
-    async def _part(self, peer: Peer, connection: Connection | None, whole: bool) -> None:
+    async def _part(self, peer: Peer, connection: Connection | None, sight: Sight) -> None:
         """A forward's connection is given back after a whole answer, else closed, and closed for good."""
-        if connection and whole:
+        if connection and sight in WHOLE:
             peer.link.give(connection)
         elif connection:
             connection.abort()
--- a/lifthead/http1.py
+++ b/lifthead/http1.py
@@ -196,6 +196,31 @@
         return data
 
 
+class Lines:
+    """The lines of one answer's body, as its bytes come."""
+
+    def __init__(self, most: int) -> None:
+        self.answer = AnswerParser()
+        self._most = most
+        self._left = b""
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Lines that are whole now; HttpError if the bytes break the protocol or one is over `most`."""
+        self.answer.feed(data)
+        *lines, self._left = (self._left + self.answer.body()).split(b"\n")
+        if len(self._left) > self._most:
+            raise HttpError(502, f"a line is over {self._most} bytes")
+        return lines
+
+
+def address_of(text: str) -> tuple[str, int]:
+    """HOST:PORT; ValueError if it is none."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit():
+        raise ValueError(f"{text!r:.60} is no address, expected HOST:PORT")
+    return host, int(port)
+
+
 def head(first: str, headers: Headers) -> bytes:
     lines = [first, *(f"{name}: {value}" for name, value in headers.items())]
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1", "replace")
--- a/lifthead/node/discovery.py
+++ b/lifthead/node/discovery.py
@@ -6,13 +6,13 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
 import msgspec
 
 from lifthead import http1
+from lifthead.hosting import up_since_of, wall_ahead
 from lifthead.http1 import HttpError
 from lifthead.interface import EngineEntry
 
@@ -57,7 +57,7 @@
 
 _decode = msgspec.json.Decoder(_Object).decode
 # Starts are told by the wall clock, which all machines share; all else runs by this machine's own.
-_WALL_AHEAD = time.time_ns() // 1000 - time.monotonic_ns() // 1000
+_WALL_AHEAD = wall_ahead()
 
 
 def news_of(line: bytes) -> News:
@@ -68,10 +68,13 @@
         raise StrangeNewsError(str(problem)) from None
     entries = []
     for target in found.targets:
-        host, _, port = target.endpoint.rpartition(":")
-        if target.state not in ("ready", "draining", "gone") or not host or not port.isdigit():
-            raise StrangeNewsError(f"engine {target.uid!r:.40}: {target.state!r:.20} {target.endpoint!r:.40}")
-        up_since = max(target.boot_ms * 1000 - _WALL_AHEAD, 1) if target.boot_ms else 0
+        if target.state not in ("ready", "draining", "gone"):
+            raise StrangeNewsError(f"engine {target.uid!r:.40}: {target.state!r:.20}")
+        try:
+            http1.address_of(target.endpoint)
+        except ValueError as problem:
+            raise StrangeNewsError(f"engine {target.uid!r:.40}: {problem}") from None
+        up_since = up_since_of(target.boot_ms * 1000, _WALL_AHEAD)
         size, state = target.capacity_hint, target.state
         entry = EngineEntry(target.uid, target.az, target.pod_group, target.model, size, up_since, state)
         entries.append((entry, target.endpoint))
@@ -122,19 +125,16 @@
                 return
             path = f"/v1/endpoints?stream=1&index={self.version}"
             writer.write(http1.head(f"GET {path} HTTP/1.1", {"host": address[0]}))
-            parser, left = http1.AnswerParser(), b""
-            while not parser.complete:
+            lines = http1.Lines(MOST_LINE)
+            while not lines.answer.complete:
                 async with asyncio.timeout(SILENT_FOR):
                     data = await reader.read(READ)
                 if not data:
                     return
-                parser.feed(data)
-                if parser.head and parser.head.status != 200:
-                    raise StrangeNewsError(f"status {parser.head.status}")
-                *lines, left = (left + parser.body()).split(b"\n")
-                if len(left) > MOST_LINE:
-                    raise StrangeNewsError(f"a line is over {MOST_LINE} bytes")
-                for line in lines:
+                found, head = lines.feed(data), lines.answer.head
+                if head and head.status != 200:
+                    raise StrangeNewsError(f"status {head.status}")
+                for line in found:
                     if line.strip():
                         self._tell(line)
         finally:
--- a/lifthead/node/engines.py
+++ b/lifthead/node/engines.py
@@ -1,6 +1,7 @@
 """The engines' side of the platform's protocol: forwards, releases, probes, load reports and streams.
 
-What was seen of a forward on its socket becomes an `Ending` in one place, `ENDINGS`. Nothing is decided here.
+What was seen of a forward on its socket becomes an `Ending` in one place, `ENDINGS`, which differs in one
+line from that of engines/codec.py. Nothing is decided here.
 """
 
 import math
@@ -9,6 +10,7 @@
 import msgspec
 
 from lifthead import http1
+from lifthead.engines import codec
 from lifthead.engines.codec import Sight
 from lifthead.http1 import Headers, HttpError, Message
 from lifthead.interface import Ending, LoadReport
@@ -32,22 +34,8 @@
     "x1": "unread_thousands",
 }
 
-# Proven not run: UNREACHABLE, NOT_SENT, BUSY. All others may have run. What came spoilt says nothing of the
-# engine's machine, so it counts as an error of its program.
-ENDINGS: dict[Sight, tuple[Ending, int]] = {
-    Sight.NO_CONNECTION: (Ending.UNREACHABLE, 0),
-    Sight.STALE: (Ending.NOT_SENT, 0),
-    Sight.CALLED_OFF: (Ending.CANCELLED, 0),
-    Sight.OUT_OF_TIME: (Ending.TIMED_OUT, 0),
-    Sight.READ: (Ending.READ, 0),
-    Sight.WRITTEN: (Ending.DONE, 0),
-    Sight.TURNED_AWAY: (Ending.BUSY, 0),
-    Sight.STATE_GONE: (Ending.BUSY, 1),
-    Sight.REFUSED_UNMARKED: (Ending.ERROR, 0),
-    Sight.CUT: (Ending.BROKEN, 0),
-    Sight.STRANGE: (Ending.ERROR, 0),
-    Sight.STALLED: (Ending.BROKEN, 0),
-}
+# What came spoilt says nothing of the engine's machine, so it counts as an error of its program.
+ENDINGS = {**codec.ENDINGS, Sight.STRANGE: (Ending.ERROR, 0)}
 
 
 class _Read(msgspec.Struct):
--- a/lifthead/node/host.py
+++ b/lifthead/node/host.py
@@ -91,9 +91,7 @@
         self._open_ids.add(client_id)
         self.empty.clear()
         reply.left = lambda: self._left(hand)
-        self._taking = hand
-        self.router.on_req(demand)
-        self._taking = None
+        self._tell_module(demand, hand)
         await reply.finished.wait()
         self._forget(hand)
 
@@ -145,15 +143,16 @@
                 may_repeat = out.reading or self._groups[hand.group].effect is Effect.REPLAYABLE
                 for fresh in (not may_repeat, *[True] * engines.CONNECT_AGAIN):
                     connection = None
-                    connection = await peer.link.take(fresh)
                     try:
+                        connection = await peer.link.take(fresh)
                         sight, note, report = await self._exchange(
                             hand, out, peer, connection, limit, abandon_at
                         )
                         break
                     except UnwrittenError:  # reset before all of it was written: none of it was taken
                         sight = Sight.NO_CONNECTION
-                        connection.abort()
+                        if connection:
+                            connection.abort()
         except TimeoutError:
             sight = Sight.OUT_OF_TIME if connection else Sight.NO_CONNECTION
             if hand.begun:
@@ -174,8 +173,7 @@
         self._connections -= 1
         if connection and sight is Sight.CUT:
             peer.link.broke(connection)
-        whole = sight in (Sight.READ, Sight.WRITTEN, Sight.TURNED_AWAY, Sight.STATE_GONE)
-        await self._part(peer, connection, whole)
+        await self._part(peer, connection, sight)
         self._over(hand, out, sight, note, report)
 
     async def _exchange(
--- a/lifthead/node/start.py
+++ b/lifthead/node/start.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from lifthead.http1 import address_of
 from lifthead.interface import Deployment
 from lifthead.node.discovery import News, StrangeNewsError, news_of
 from lifthead.terms import Fields, MalformedError, deployment_of, flat, whole
@@ -60,6 +61,7 @@
         env = flat(file.settings)
         env["Nonce64"] = str(int(file.seed or "0", 16))
         deployment = deployment_of(env)
+        listen, discovery = address_of(file.listen), address_of(file.discovery)
         known = news_of(bytes(file.known)) if file.known else None
     except (msgspec.DecodeError, UnicodeDecodeError, ValueError, MalformedError, StrangeNewsError) as problem:
         raise StartError(str(problem)) from None
@@ -67,8 +69,8 @@
     clients = int(free * CLIENTS)
     return Start(
         name=file.name,
-        listen=_address(file.listen),
-        discovery=_address(file.discovery),
+        listen=listen,
+        discovery=discovery,
         deployment=deployment,
         known=known,
         clients=clients,
@@ -81,10 +83,3 @@
 
 def _limit(env: Fields, name: str, usual: int) -> int:
     return whole(env, f"PolicyLimits.{name}", usual) or usual
-
-
-def _address(text: str) -> tuple[str, int]:
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit():
-        raise StartError(f"{text!r:.60} is no address, expected HOST:PORT")
-    return host, int(port)
--- a/lifthead/simhost/wire.py
+++ b/lifthead/simhost/wire.py
@@ -1,7 +1,7 @@
 """Turns the wire's text into the module's plain types. It translates and nothing else."""
 
 from lifthead.interface import Demand, Ending, EngineEntry, LoadReport
-from lifthead.terms import Fields, MalformedError, flag, named, real, required, text_of, whole
+from lifthead.terms import Fields, MalformedError, flag, named, real, required, whole
 
 ENDINGS = {
     "done": Ending.DONE,
@@ -23,6 +23,7 @@
     "x1": "unread_thousands",
 }
 
+
 def fields_of(line: str) -> tuple[str, Fields]:
     name, *parts = line.split(" ")
     fields: Fields = {}
@@ -36,6 +37,11 @@
     return name, fields
 
 
+def text_of(fields: Fields, key: str) -> str:
+    value = fields.get(key, "")
+    return "" if value in ("-", "0") else value
+
+
 def report_of(fields: Fields) -> LoadReport | None:
     stats = fields.get("ServerStats", "")
     if stats in ("", "-"):
--- a/lifthead/terms.py
+++ b/lifthead/terms.py
@@ -41,11 +41,6 @@
     return fields.get(key, "0") in ("1", "true")
 
 
-def text_of(fields: Fields, key: str) -> str:
-    value = fields.get(key, "")
-    return "" if value in ("-", "0") else value
-
-
 def required(fields: Fields, key: str) -> str:
     if key not in fields:
         raise MalformedError(f"{key} is missing")
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -32,7 +32,22 @@
 """
 
 
-class Loopback:
+class Listening:
+    """What listens on ports that the system gives."""
+
+    servers: list[asyncio.Server]
+
+    async def _listen(self, handler):
+        self.servers.append(await asyncio.start_server(handler, "127.0.0.1", 0, backlog=2048))
+        return "{}:{}".format(*self.servers[-1].sockets[0].getsockname()[:2])
+
+    async def until(self, true, within=3.0):
+        async with asyncio.timeout(within):
+            while not true():
+                await asyncio.sleep(0.01)
+
+
+class Loopback(Listening):
     """`engines` names the stand-ins to run; `odd` gives handlers that take an engine's place."""
 
     def __init__(self, path: Path, engines=("rd", "wr"), odd=None, text=SCRIPT):
@@ -59,10 +74,6 @@
         self.tell()
         return self
 
-    async def _listen(self, handler):
-        self.servers.append(await asyncio.start_server(handler, "127.0.0.1", 0, backlog=2048))
-        return "{}:{}".format(*self.servers[-1].sockets[0].getsockname()[:2])
-
     def tell(self, **readiness):
         specs = self.fleet.engines
         self.daemon.host.on_list(
@@ -97,11 +108,6 @@
     def record(self, name):
         return lines(self.path / f"engine-{name}.jsonl")
 
-    async def until(self, true, within=3.0):
-        async with asyncio.timeout(within):
-            while not true():
-                await asyncio.sleep(0.01)
-
 
 def body(text="hi", model="m", **more):
     return {"model": model, "messages": [{"role": "user", "content": text}], **more}
--- a/tests/onenode.py
+++ b/tests/onenode.py
@@ -4,7 +4,10 @@
 import json
 from dataclasses import replace
 
+from loopback import Listening
+
 from lifthead.chat.server import Clients
+from lifthead.http1 import chunk
 from lifthead.node import clients
 from lifthead.node.__main__ import Bounds
 from lifthead.node.discovery import news_of
@@ -51,10 +54,6 @@
 HAS_READ = b'HTTP/1.1 202 ok\r\ncontent-length: 20\r\n\r\n{"cached_tokens": 5}'
 
 
-def chunk(data):
-    return b"%x\r\n%b\r\n" % (len(data), data)
-
-
 STREAM = HEAD + chunk(EVENT) + chunk(EVENT + END) + b"0\r\n\r\n"
 CLOSE, HANG = "close", "hang"  # what an engine may do in place of its next bytes
 
@@ -121,7 +120,7 @@
         return True
 
 
-class Node:
+class Node(Listening):
     """`engines`: an Engine by uid; those whose uid begins with rd read, the others write."""
 
     def __init__(self, first_within=0.5, connections=50, sockets=1024, **engines):
@@ -140,10 +139,6 @@
         self.address = await self._listen(self.door.connection)
         return self
 
-    async def _listen(self, handler):
-        self.servers.append(await asyncio.start_server(handler, "127.0.0.1", 0))
-        return "{}:{}".format(*self.servers[-1].sockets[0].getsockname()[:2])
-
     def tell(self, *targets, whole=True):
         self.host.on_news(news_of(news(*targets, whole=whole)))
 
@@ -153,11 +148,6 @@
         self.host.close()
         await self._group.__aexit__(None, None, None)
 
-    async def until(self, true, within=3.0):
-        async with asyncio.timeout(within):
-            while not true():
-                await asyncio.sleep(0.01)
-
 
 def chat(prompt=100, group="ask", trace="a1", waits="2000", body=None, path=clients.PATH, **headers):
     """A client's message. A header given as None is left out."""
