Waits at readers are estimated apart from their pace; a mute, busy reader is left

From 40 s on every reader is idle, and yet 324 reqs are pushed back. Reads that began when the reader's backlog was told took 40 to 75 (traced, PACE lines by fives of seconds). Long prompts are hit most.

Cause: _first_answer put what waited unseen, for other routers' reqs, into the readers' pace; with half a req a second in each router, _turn_of_window ages that in half a minute (FORGET), and _route's push-back asked no reader, so nothing told that the jam was over. One router alone knows all that waits, so it is harmless there.

Now, where engines tell their load only when asked: pace is learnt where the backlog was told; what reads took beyond it and what readers tell give one estimate of what waits where nothing was told lately (_learn, _heed, _backlog); unread text counts as far as such proved unread lately (_to_read); a push-back asks its reader; a reader that leaves a probe unanswered while nothing of this router's is out there is left for FRESH or until it answers, if others can be asked.

Ruled out by logs: cold engines (FWD lines: none cold after 20 s), writers' memory (no press figures), bad clients (4xx), calling off at silence (3 to 14 reads in 5 s).

--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -42,6 +42,7 @@
 # Health.
 OVERHEAD = 1000  # tokens' worth of time that any first answer takes, however short its prompt
 ENOUGH = 6  # measurements before a histogram is believed
+READ_MEMORY = 4 * ENOUGH * THRESHOLD  # tokens of reads after which older ones count half
 FORGET = 16  # windows after which paces count half
 PATIENCE = 5.0  # an engine may be silent for this many times what nine in ten such forwards take
 TRIAL_AFTER = 1_000_000  # a suspect's first trial; twice as long after each further strike
@@ -58,6 +59,7 @@
 DRAWS = 8  # draws from a larger zone before all of it is asked for room
 ORDERS = 512  # keys whose order of readers is remembered
 NOBODY = Pool([])
+ANY = ""  # in place of an endpoint group: all of them
 
 # Cold engines.
 COLD_PART = 0.8  # of what rule 4 would let all routers together send one
@@ -135,6 +137,8 @@
         self.least_memory = min((m for m in deployment.memory.values() if m), default=NEVER)
         self.reqs: dict[int, Req] = {}
         self.pace = {work: Histogram(1000, 14, 400) for work in ("read", "fetch", "read there")}
+        self.unseen = 0.0  # tokens where a reader told nothing lately, if readers tell only when asked
+        self.taken_unread = self.proved_unread = float(THRESHOLD)  # tokens at readers: as expected, as found
         self.streams = Histogram(100_000, 10, 400)  # how long answers stream
         self.sizes = Histogram(256, 10, 200)  # tokens of a forward to a writer
         self.reads = Histogram(256, 10, 200)  # unread tokens of a forward to a reader
@@ -254,7 +258,7 @@
                 writer = self._stand_in(req, home)
                 if writer and self._wait(writer, req, "read there") < wait:
                     return self._forward(req, writer, "read there")
-            if reader is None or self._hopeless(req, home, wait):
+            if reader is None or self._hopeless(req, home, reader, wait):
                 return self._give_up(req)
             return self._forward(req, reader, "read")
         zone = self.between_zones.place(req.held_at.zone, self.chance.random())
@@ -282,6 +286,8 @@
         expected = req is not None and req.out is not None and req.out.number == number
         if expected:
             forward, req.out = req.out, None
+            if self.probes and forward.reading and ending in (Ending.READ, Ending.CANCELLED):
+                self._learn(forward, took, max(req.prompt - note, 1) if ending is Ending.READ else 0)
             if not forward.begun and ending in (Ending.READ, Ending.DONE):
                 self._first_answer(forward, took)
             self._unload(forward)
@@ -348,8 +354,12 @@
         return None
 
     def on_probed(self, name: str, report: LoadReport | None) -> None:
-        if report and name in self.engines:
-            self._heed(self.engines[name], report)
+        engine = self.engines.get(name)
+        if engine and report:
+            self._heed(engine, report)
+        elif engine and not engine.out:  # busy with others, or gone: without a fresh word it looks idle
+            engine.barred[ANY] = self.host.now() + FRESH
+            self.watched[engine] = None
 
     # Choosing an engine.
 
@@ -417,13 +427,34 @@
         pace = self.pace[work]
         if pace.total < ENOUGH:
             return 0
-        return pace.quantile(0.75) * (self._backlog(engine) + self._unread(engine, req) + OVERHEAD) / 1000
-
-    def _hopeless(self, req: Req, home: str, wait: float) -> bool:
+        return pace.quantile(0.75) * (self._to_read(engine, self._unread(engine, req), work) + OVERHEAD) / 1e3
+
+    def _to_read(self, engine: Engine, unread: int, work: str) -> int:
+        """What is to be read until so many more are. Texts read for others' reqs are kept as lately."""
+        return int((self._backlog(engine) + unread) * (self._still_unread() if work == "read" else 1.0))
+
+    def _learn(self, forward: Forward, took: int, read: int) -> None:
+        """A reader has read so many tokens of those that it was taken to have unread, or was called off (0).
+        What its pace does not explain had waited there unseen: others' reqs."""
+        part, pace = self._still_unread(), self.pace["read"]
+        if read:
+            forward.backlog += read - int(forward.unread * part)
+            fade = 0.5 if self.taken_unread > READ_MEMORY else 1.0
+            self.taken_unread = fade * (self.taken_unread + forward.unread)
+            self.proved_unread = fade * (self.proved_unread + read)
+        if not forward.told and pace.total >= ENOUGH:
+            more = took * 1000 / max(pace.quantile(0.5), 1) - OVERHEAD - forward.backlog
+            self.unseen += max(more / part, -self.unseen) / ENOUGH
+
+    def _still_unread(self) -> float:
+        return min(self.proved_unread / self.taken_unread, 1.0)
+
+    def _hopeless(self, req: Req, home: str, reader: Engine, wait: float) -> bool:
         """Whether the first token can't be expected in time: writers let go of memory as their streams end,
         a backlog goes at the usual pace. What would come too late is waste, and makes others late."""
         most = HOPELESS * req.wanted_in * (OVER_SHARE if req.over_share else 1)
         if wait > most:
+            self._ask_near(reader)  # where all is pushed back, nothing else tells that a jam is over
             return True
         unfit, writers = self._unfit(req, False), self.writers_in.get(home, NOBODY).engines
         writers = [e for e in self._some(writers) if e not in unfit]
@@ -502,7 +533,7 @@
             cold = now < e.cold_until and not self._cold_room(e, now)
             if cold or (e in ill and not (self._trial(e, req, now) or (trust_all and e not in down))):
                 unfit.add(e)
-        barred = {e for e in watched if e not in unfit and now < e.barred.get(req.demand.group, 0)}
+        barred = {e for e in watched if now < max(map(e.barred.get, (ANY, req.demand.group), (0, 0)))} - unfit
         return unfit | barred if len(unfit) + len(barred) < len(engines) else unfit
 
     def _watch(self, now: int) -> list[Engine]:
@@ -551,11 +582,13 @@
         """Prompt tokens that wait to be read there, by this router's own or the engine's fresh word."""
         report = self._word(engine)
         if report is None:
-            return engine.unread
-        told = (report.unread_thousands or 0) * 1000
+            return engine.unread + int(self.unseen * (engine.role == "read"))
+        return max(engine.unread, int(self._told(engine, report)) + engine.unread - engine.unread_then)
+
+    def _told(self, engine: Engine, report: LoadReport) -> float:
         if report.unread_thousands is None and engine.role == "read":
-            told = (report.queued or 0) * self.reads.quantile(0.5)  # not told in tokens: as usual reqs
-        return max(engine.unread, int(told) + engine.unread - engine.unread_then)
+            return (report.queued or 0) * self.reads.quantile(0.5)  # not told in tokens: as usual reqs
+        return (report.unread_thousands or 0) * 1000
 
     def _word(self, engine: Engine) -> LoadReport | None:
         """The engine's latest report, while it is fresh enough to be believed."""
@@ -563,6 +596,9 @@
 
     def _heed(self, engine: Engine, report: LoadReport) -> None:
         engine.report, engine.report_at = report, self.host.now()
+        engine.barred.pop(ANY, None)
+        if self.probes and engine.role == "read":
+            self.unseen += (self._told(engine, report) - self.unseen) / ENOUGH
         engine.tokens_then, engine.unread_then = engine.tokens, engine.unread
 
     def _unread(self, engine: Engine, req: Req) -> int:
@@ -644,7 +680,9 @@
         """The engine answered: a prompt is read or a stream has begun."""
         engine, now, work = forward.engine, self.host.now(), self._work(forward)
         engine.heard_at, engine.failures = now, 0
-        self.pace[work].add(took * 1000 // (forward.backlog + OVERHEAD))
+        # What waited unseen is no slowness: it would push back, for long, what would show that it is over.
+        if work != "read" or forward.told or not self.probes or self.pace[work].total < ENOUGH:
+            self.pace[work].add(took * 1000 // (max(forward.backlog, 0) + OVERHEAD))
         forward.begun, forward.first_took = True, took
         self._waits_no_more(forward)
         if engine.strikes and engine.away:  # back, and likely cold, whether or not the list has said so
@@ -700,11 +738,11 @@
         now = self.host.now()
         unread = 0 if work == "fetch" else self._unread(engine, req)
         tokens = 0 if work == "read" else req.prompt + req.demand.max_out
-        backlog = req.prompt if work == "fetch" else self._backlog(engine) + unread
+        backlog = req.prompt if work == "fetch" else self._to_read(engine, unread, work)
         may_repeat = req.effect is not Effect.NON_REPLAYABLE
         forward = Forward(
             req.demand.id, req.forwards, engine, now, tokens, unread, backlog, work == "read", may_repeat,
-            req.target,
+            req.target, told=self._word(engine) is not None,
         )  # fmt: skip
         engine.tokens += tokens
         if tokens:
@@ -719,15 +757,16 @@
         req.out = forward
         req.forwards += 1
         self.host.forward(req.demand.id, engine.name, req.due_at)
-        if self.probes:
-            # Some engines of the zone are asked for later reqs: probes grow with reqs, not routers x engines.
-            near = self.readers_in.get(engine.zone, []) + self.writers_in.get(engine.zone, NOBODY).engines
-            if engine in near:
-                near.remove(engine)
-            for asked in (engine, *self.chance.sample(near, min(len(near), PROBES))):
-                if now - asked.probed_at >= PROBE_EVERY:
-                    asked.probed_at = now
-                    self.host.probe(asked.name)
+        self._ask_near(engine)
+
+    def _ask_near(self, engine: Engine) -> None:
+        """Some engines of the zone are asked for later reqs: probes grow with reqs, not routers x engines."""
+        near = self.readers_in.get(engine.zone, []) + self.writers_in.get(engine.zone, NOBODY).engines
+        near, now = [e for e in near if e is not engine], self.host.now()
+        for asked in (engine, *self.chance.sample(near, min(len(near), PROBES))) if self.probes else ():
+            if now - asked.probed_at >= PROBE_EVERY:
+                asked.probed_at = now
+                self.host.probe(asked.name)
 
     def _unload(self, forward: Forward) -> None:
         forward.engine.tokens -= forward.tokens
--- a/lifthead/state.py
+++ b/lifthead/state.py
@@ -50,10 +50,11 @@
     sent_at: int
     tokens: int  # what it weighs at a writer
     unread: int  # prompt tokens that it brings to be read
-    backlog: int  # unread tokens that were known at the engine, its own included
+    backlog: int  # tokens that were to be read at the engine, so far as was known, its own included
     reading: bool  # at a reader
     may_repeat: bool  # the req is not one that must never run twice
     target: int  # the req's response target
+    told: bool = False  # the engine's own word was part of that backlog
     written_off: bool = False  # lost, or at an engine that was found silent
     begun: bool = False
     first_took: int = 0  # from the sending to the end of the read or the first token
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -558,3 +558,80 @@
         bench.router.on_engines([entry("R1"), entry("R2"), entry("W1")], whole_list=True)
     bench.pass_time(3_000_000)
     assert len(bench.router.engines) == 3
+
+
+# What others' reqs do to a reader, where each router sends few and engines tell only when asked.
+
+ASKED = {"reports_on_probe": True, "may_probe": True}
+
+
+def test_a_reader_busy_with_others_reqs_that_lets_a_probe_go_unanswered_is_left_until_it_answers():
+    bench = Bench(*CELL, **ASKED)
+    first = bench.sent[bench.serve()][0]
+    other = next(name for name in ("R1", "R2") if name != first)
+    bench.router.on_probed(first, None)
+    assert bench.sent[bench.serve()][0] == other
+    bench.router.on_probed(first, report(queued=0.0, unread_thousands=0.0))
+    assert bench.sent[bench.serve()][0] == first
+    for name in ("R1", "R2"):
+        bench.router.on_probed(name, None)
+    assert bench.sent[bench.serve()][0] == first  # better than none
+    bench.clock += control.FRESH
+    mine = bench.req()
+    bench.router.on_probed(bench.last(mine), None)  # what this router sent is what it is busy with
+    assert bench.last(bench.req()) == bench.last(mine) == first
+
+
+def read_all(bench, took, number=12, note=0, ending=Ending.READ):
+    """Reads of so many sessions that come here for the first time; those pushed back are left out."""
+    for n in range(number):
+        req_id = bench.req(6000, session=f"x{n}", beginning="")
+        if bench.sent.get(req_id):
+            bench.end(req_id, ending, note=note, took=took, final=ending is not Ending.READ)
+
+
+def test_what_waited_unseen_does_not_push_back_once_readers_tell_that_nothing_waits():
+    """Every router of a fleet learnt a jam's waits as its readers' pace, and pushed back for half a minute
+    what idle readers could have read."""
+    bench = Bench(entry("R1"), entry("W1"), **ASKED)
+    idle = report(queued=0.0, unread_thousands=0.0)
+    for n in range(control.ENOUGH):
+        bench.router.on_probed("R1", idle)
+        bench.end(bench.req(6000, session=f"i{n}", beginning=""), Ending.READ, took=500_000)
+    bench.clock += 2 * control.FRESH  # the word is old: what waits there for others is not seen
+    read_all(bench, took=5_000_000)
+    for _ in range(4 * control.ENOUGH):
+        bench.router.on_probed("R1", idle)
+    later = bench.req(6000, session="y", beginning="")
+    assert bench.answers(later) == [] and bench.last(later) == "R1"
+
+
+@pytest.mark.parametrize("ending", [Ending.READ, Ending.CANCELLED])
+def test_a_reader_that_told_nothing_lately_counts_as_loaded_as_reads_proved(ending):
+    bench = Bench(entry("R1"), entry("R2"), entry("W1"), may_cancel=False, **ASKED)
+    for n in range(control.ENOUGH):
+        for name in ("R1", "R2"):
+            bench.router.on_probed(name, report(queued=0.0, unread_thousands=0.0))
+        bench.end(bench.req(6000, session=f"i{n}", beginning=""), Ending.READ, took=500_000)
+    bench.clock += 2 * control.FRESH
+    read_all(bench, took=6_000_000, ending=ending)
+    assert bench.router._backlog(bench.router.engines["R2"]) > 5_000
+    assert bench.answers(bench.req(6000, session="y", beginning="")) == ["push_back"]
+
+
+def test_a_push_back_asks_the_reader_that_it_gave_up_on():
+    bench = Bench(entry("R1"), entry("W1"), **ASKED)
+    read_all(bench, took=3_000_000)
+    bench.clock += control.PROBE_EVERY
+    asked = len(bench.calls("probe"))
+    assert bench.answers(bench.req(6000, session="y", beginning="")) == ["push_back"]
+    assert ("probe", "R1") in bench.calls("probe")[asked:]
+
+
+def test_texts_that_readers_keep_from_others_reqs_are_not_expected_to_take_their_time():
+    bench = Bench(entry("R1"), entry("W1"), **ASKED)
+    read_all(bench, took=150_000, note=5500)
+    router = bench.router
+    assert router._to_read(router.engines["R1"], 6000, "read") < 2000
+    read_all(bench, took=800_000, number=40)  # the texts were lost
+    assert router._to_read(router.engines["R1"], 6000, "read") > 4000
