A zone's engines to ask are listed only where probes are allowed

Seen on reading the change once more: _ask_near joined and copied a zone's readers and writers for each forward and push-back, also where there are no probes, which `if self.probes` had guarded before. That is work that grows with the fleet on the path of every req.

--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -754,19 +754,19 @@
         heappush(self.late, (now + req.target, req.demand.id, forward.number, engine))
         if now < engine.cold_until:
             engine.cold_credit -= 1
-        req.out = forward
-        req.forwards += 1
+        req.out, req.forwards = forward, req.forwards + 1
         self.host.forward(req.demand.id, engine.name, req.due_at)
         self._ask_near(engine)
 
     def _ask_near(self, engine: Engine) -> None:
         """Some engines of the zone are asked for later reqs: probes grow with reqs, not routers x engines."""
-        near = self.readers_in.get(engine.zone, []) + self.writers_in.get(engine.zone, NOBODY).engines
-        near, now = [e for e in near if e is not engine], self.host.now()
-        for asked in (engine, *self.chance.sample(near, min(len(near), PROBES))) if self.probes else ():
-            if now - asked.probed_at >= PROBE_EVERY:
-                asked.probed_at = now
-                self.host.probe(asked.name)
+        if self.probes:
+            near = self.readers_in.get(engine.zone, []) + self.writers_in.get(engine.zone, NOBODY).engines
+            near, now = [e for e in near if e is not engine], self.host.now()
+            for asked in (engine, *self.chance.sample(near, min(len(near), PROBES))):
+                if now - asked.probed_at >= PROBE_EVERY:
+                    asked.probed_at = now
+                    self.host.probe(asked.name)
 
     def _unload(self, forward: Forward) -> None:
         forward.engine.tokens -= forward.tokens
