An odd entry, object or setting costs only itself; a req's work at 1,024 engines as at 60

Seen, by small probes on 2026-12-01: one entry in an unknown state, or a gone one without an address, made the whole list unusable (StrangeNewsError), the watch was opened again from the same version every 0.1 s for good, and with such an entry in the known list the program did not start. An object indented over several lines was never read ("Input data was truncated"). A negative or infinite weight raised ValueError inside a decision (random.choices). An engine of a kind that the settings don't name was used as a mixed server. Unknown roles, list modes, ways of reports and places of keyed groups passed silently. Cause: discovery.news_of judged all entries together and the follower a line at a time; Router.on_engines took roles.get(kind, "both") and entry.weight as told, and kept the role and memory of an engine that is back as another kind; terms.py compared with one known word and took all others for the other case. Work that grew with the fleet, by a probe at 60 and 1,024 engines: host._make_room 7 -> 101 us a forward or probe (it looked at every link), control._ask_near 5 -> 26 us (it listed the zone), and, found by the new test, control._draw went through all of a zone's writers for each short prompt (cell None), 340 lines of Python a req more. Changed: entries are read one by one, an unknown state or a missing address means that the engine gets nothing new, odd news twice over are asked for as the whole list; settings name the field. Same draws but for probes' order. Tests of module, decisions, node and size: 670 passed.

--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -163,15 +163,14 @@
         for entry in entries:
             engine = self.engines.get(entry.engine)
             if engine is None:
-                role, memory = self.roles.get(entry.kind, "both"), self.memory.get(entry.kind, 0)
-                engine = self.engines[entry.engine] = Engine(
-                    entry.engine, entry.zone, entry.cell, role, entry.weight, memory,
-                    entry.up_since, False,
-                )  # fmt: skip
+                engine = self.engines[entry.engine] = Engine(entry.engine, entry.up_since)
             elif entry.up_since != engine.up_since:  # back under the same name: what was held against it goes
                 engine.strikes, engine.failures, engine.report = 0, 0, None
-            engine.zone, engine.cell, engine.weight = entry.zone, entry.cell, entry.weight or 1.0
-            engine.ready, engine.up_since = entry.readiness == "ready", entry.up_since
+            engine.zone, engine.cell, engine.up_since = entry.zone, entry.cell, entry.up_since
+            engine.weight = entry.weight if 0 < entry.weight < NEVER else 1.0  # not told, or no size
+            # An engine of a kind that the settings don't name can't be used: nothing says what it does.
+            engine.role, engine.memory = self.roles.get(entry.kind, ""), self.memory.get(entry.kind, 0)
+            engine.ready = entry.readiness == "ready" and engine.role != ""
             engine.gone = entry.readiness == "gone"
             if entry.up_since:
                 self._cold(engine, entry.up_since + self.warm_within)
@@ -496,7 +495,8 @@
             return None
         if zone in self.between_cells:
             cell = self.between_cells[zone].place(cell, self.chance.random())
-        in_cell = [e for e in cells.get((zone, cell), pool.engines) if e.cell == cell and fit(e)]
+        in_cell = cells.get((zone, cell), ()) if cells else pool.engines
+        in_cell = [e for e in in_cell if e.cell == cell and fit(e)]
         kept = self.chance.choice(in_cell) if in_cell else self._pick(pool, fit) or other
         return other if self._load(kept) > HEAVIER * self._load(other) + HEAVIER_BY else kept
 
@@ -761,9 +761,11 @@
     def _ask_near(self, engine: Engine) -> None:
         """Some engines of the zone are asked for later reqs: probes grow with reqs, not routers x engines."""
         if self.probes:
-            near = self.readers_in.get(engine.zone, []) + self.writers_in.get(engine.zone, NOBODY).engines
-            near, now = [e for e in near if e is not engine], self.host.now()
-            for asked in (engine, *self.chance.sample(near, min(len(near), PROBES))):
+            readers, now = self.readers_in.get(engine.zone, []), self.host.now()
+            writers = self.writers_in.get(engine.zone, NOBODY).engines
+            drawn = self.chance.sample(range(n := len(readers) + len(writers)), min(n, PROBES + 1))
+            near = [(readers[at] if at < len(readers) else writers[at - len(readers)]) for at in drawn]
+            for asked in (engine, *[e for e in near if e is not engine][:PROBES]):
                 if now - asked.probed_at >= PROBE_EVERY:
                     asked.probed_at = now
                     self.host.probe(asked.name)
--- a/lifthead/engines/link.py
+++ b/lifthead/engines/link.py
@@ -136,7 +136,9 @@
         connect_within: float,
         lasting: Lasting | None = None,
         bounds: tuple[int, ...] = (),
+        unused: dict[Connection, "Link"] | None = None,
     ) -> None:
+        """`unused`: connections that wait at all links together, the one that waits longest first."""
         self.address = address
         self._lasting = lasting or Lasting()
         self._bounds = bounds
@@ -144,6 +146,7 @@
         self._port = int(port)
         self._connect_within = connect_within
         self._idle: deque[Connection] = deque()
+        self._unused = {} if unused is None else unused
 
     async def take(self, fresh: bool) -> Connection:
         """A connection; OSError or TimeoutError if none can be made. `fresh`: not one that was used before,
@@ -151,6 +154,7 @@
         now = asyncio.get_running_loop().time()
         while self._idle and not fresh:
             connection = self._idle.pop()
+            del self._unused[connection]
             connection.waited = now - connection.idle_since
             if connection.quiet and connection.waited < self._lasting.span(now):
                 return connection
@@ -172,26 +176,25 @@
         for connection in list(self._idle):
             if not connection.quiet or now - connection.idle_since >= self._lasting.span(now):
                 self._idle.remove(connection)
+                del self._unused[connection]
                 connection.abort()
 
     @property
     def idle(self) -> int:
         return len(self._idle)
 
-    @property
-    def idle_since(self) -> float:
-        """Since when its longest unused connection waits."""
-        return self._idle[0].idle_since if self._idle else float("inf")
-
     def drop_oldest(self) -> None:
         if self._idle:
-            self._idle.popleft().abort()
+            connection = self._idle.popleft()
+            del self._unused[connection]
+            connection.abort()
 
     def give(self, connection: Connection) -> None:
         """Back after a whole answer; anything else is closed."""
         if connection.reusable:
             connection.idle_since, connection.used = asyncio.get_running_loop().time(), True
             self._idle.append(connection)
+            self._unused[connection] = self
         else:
             connection.abort()
 
@@ -202,7 +205,7 @@
 
     def close(self) -> None:
         while self._idle:
-            self._idle.pop().abort()
+            self.drop_oldest()
 
     async def ask(self, data: bytes, within: float) -> tuple[Message, bytes] | None:
         """One short question (a probe, letting go); None if it was not answered in time."""
--- a/lifthead/node/discovery.py
+++ b/lifthead/node/discovery.py
@@ -1,11 +1,12 @@
-"""Discovery's list and watch: one JSON object a line becomes entries of the list of engines.
+"""Discovery's list and watch: JSON objects become entries of the list of engines.
 
 The follower keeps one watch open and opens another when it falls silent or ends; it tells nothing then, for
-the list in hand stays the best there is.
+the list in hand stays the best there is. An odd entry costs only itself, an odd object the watch it came on.
 """
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -17,16 +18,18 @@
 from lifthead.interface import EngineEntry
 
 READ = 65_536
-MOST_LINE = 4 << 20  # bytes of one object
+MOST_OBJECT = 4 << 20  # bytes
 SILENT_FOR = 2.9  # seconds; an empty line comes every 2 s while nothing changes
 CONNECT_WITHIN = 0.5  # seconds
 AGAIN_AFTER = 0.1  # seconds
+LATEST = 1 << 42  # milliseconds of Unix time, in the year 2109: a start told later was never meant
+STATES = ("ready", "draining", "gone")
 
 log = logging.getLogger(__name__)
 
 
 class StrangeNewsError(Exception):
-    """A line that is no news of engines."""
+    """What is no news of engines."""
 
 
 class _Target(msgspec.Struct):
@@ -37,18 +40,19 @@
     state: str
     pod_group: int = 0
     capacity_hint: float = 1.0
-    boot_ms: int = 0
+    boot_ms: float = 0
 
 
 class _Object(msgspec.Struct):
     rev: int
     all: bool
-    targets: list[_Target]
+    targets: list[msgspec.Raw]
 
 
 @dataclass(frozen=True, slots=True)
 class News:
-    """The whole list of engines, or what changed; with each entry the engine's address."""
+    """The whole list of engines, or what changed; with each entry the engine's address, "" if none is told
+    that can be used."""
 
     version: int
     whole: bool
@@ -56,31 +60,81 @@
 
 
 _decode = msgspec.json.Decoder(_Object).decode
+_decode_target = msgspec.json.Decoder(_Target).decode
 # Starts are told by the wall clock, which all machines share; all else runs by this machine's own.
 _WALL_AHEAD = wall_ahead()
 
 
-def news_of(line: bytes) -> News:
-    """One object of the watch, or the whole list; StrangeNewsError if it is neither."""
+def news_of(data: bytes) -> News:
+    """One object of the watch, or the whole list; StrangeNewsError if it is neither. An entry that can't be
+    read is left out, and of others as much is believed as harms nothing. Either is logged."""
     try:
-        found = _decode(line)
+        found = _decode(data)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as problem:
         raise StrangeNewsError(str(problem)) from None
-    entries = []
-    for target in found.targets:
-        if target.state not in ("ready", "draining", "gone"):
-            raise StrangeNewsError(f"engine {target.uid!r:.40}: {target.state!r:.20}")
+    entries, odd = [], []
+    for told in found.targets:
         try:
-            http1.address_of(target.endpoint)
-        except ValueError as problem:
-            raise StrangeNewsError(f"engine {target.uid!r:.40}: {problem}") from None
-        up_since = up_since_of(target.boot_ms * 1000, _WALL_AHEAD)
-        size, state = target.capacity_hint, target.state
-        entry = EngineEntry(target.uid, target.az, target.pod_group, target.model, size, up_since, state)
-        entries.append((entry, target.endpoint))
+            entries.append(_entry_of(_decode_target(told), odd))
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as problem:
+            odd.append(f"{bytes(told)!r:.60}: {problem}")
+    if odd:
+        log.warning("version %d has %d odd entries, the first: %s", found.rev, len(odd), odd[0][:200])
     return News(found.rev, found.all, entries)
 
 
+def _entry_of(target: _Target, odd: list[str]) -> tuple[EngineEntry, str]:
+    """An engine in a state that is not known here, or without an address, gets nothing new."""
+    state, address, size = target.state, target.endpoint, target.capacity_hint
+    try:
+        http1.address_of(address)
+    except ValueError as problem:
+        if state != "gone":
+            odd.append(f"engine {target.uid!r:.40}: {problem}")
+            state = "draining"
+        address = ""
+    if state not in STATES:
+        odd.append(f"engine {target.uid!r:.40}: state {state!r:.20}")
+        state = "draining"
+    if not (math.isfinite(size) and size >= 0):
+        odd.append(f"engine {target.uid!r:.40}: capacity_hint {size}")
+        size = 0.0  # not told
+    boot = target.boot_ms if 0 <= target.boot_ms <= LATEST else 0.0
+    if boot != target.boot_ms:
+        odd.append(f"engine {target.uid!r:.40}: boot_ms {target.boot_ms}")
+    up_since = up_since_of(int(boot * 1000), _WALL_AHEAD)
+    entry = EngineEntry(target.uid, target.az, target.pod_group, target.model, size, up_since, state)
+    return entry, address
+
+
+class Gathering:
+    """Lines of the watch to objects, which stand in one line or are indented over several."""
+
+    def __init__(self) -> None:
+        self._lines: list[bytes] = []
+        self._size = 0
+
+    def take(self, line: bytes) -> News | None:
+        """The news that this line ends, if it ends one; StrangeNewsError if it belongs to none. An empty line
+        only tells that the watch lives."""
+        line = line.rstrip()
+        if not line and not self._lines:
+            return None
+        self._lines.append(line)
+        self._size += len(line)
+        if line and not line.endswith(b"}") and self._size <= MOST_OBJECT:
+            return None
+        try:
+            news = news_of(b"\n".join(self._lines))
+        except StrangeNewsError as problem:
+            # An inner brace may end a line; what is whole and no news, or given up, won't become any.
+            if line and self._size <= MOST_OBJECT and "truncated" in str(problem):
+                return None
+            raise
+        self._lines, self._size = [], 0
+        return news
+
+
 class Follower:
     """Keeps the list as discovery has it. `version` is that of the list in hand, 0 for none."""
 
@@ -88,6 +142,7 @@
         self.address = address
         self.version = version
         self._on_news = on_news
+        self._strange = 0  # watches in a row that ended with what is no news
         self._writer: asyncio.StreamWriter | None = None
         self._turned = asyncio.Event()
 
@@ -108,6 +163,7 @@
             try:
                 await self._watch(address)
             except (OSError, TimeoutError, HttpError, StrangeNewsError) as problem:
+                self._strange += isinstance(problem, StrangeNewsError)
                 log.info("the watch at %s ended: %s", address, str(problem)[:200] or type(problem).__name__)
             try:
                 async with asyncio.timeout(AGAIN_AFTER):
@@ -123,9 +179,10 @@
         try:
             if address != self.address:
                 return
-            path = f"/v1/endpoints?stream=1&index={self.version}"
+            # What changed since may be odd each time it is asked for: then the whole list is.
+            path = f"/v1/endpoints?stream=1&index={self.version if self._strange < 2 else 0}"
             writer.write(http1.head(f"GET {path} HTTP/1.1", {"host": address[0]}))
-            lines = http1.Lines(MOST_LINE)
+            lines, gathering = http1.Lines(MOST_OBJECT), Gathering()
             while not lines.answer.complete:
                 async with asyncio.timeout(SILENT_FOR):
                     data = await reader.read(READ)
@@ -135,13 +192,9 @@
                 if head and head.status != 200:
                     raise StrangeNewsError(f"status {head.status}")
                 for line in found:
-                    if line.strip():
-                        self._tell(line)
+                    if news := gathering.take(line):
+                        self.version, self._strange = news.version, 0
+                        self._on_news(news)
         finally:
             self._writer = None
             writer.transport.abort()
-
-    def _tell(self, line: bytes) -> None:
-        news = news_of(line)
-        self.version = news.version
-        self._on_news(news)
--- a/lifthead/node/host.py
+++ b/lifthead/node/host.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 from dataclasses import dataclass
+from heapq import nlargest
 
 from lifthead import control, hosting
 from lifthead.chat.server import Reply
@@ -55,6 +56,7 @@
         self._open_ids: set[str] = set()
         self._connections = 0  # to engines, in use
         self.most_connections = start.engines
+        self._unused: dict[Connection, Link] = {}  # to engines, the one that waits longest first
         self._lasting = Lasting(start.idle_close / 1e6 * engines.IDLE_PART)
         self.router = control.Router(self, start.deployment)
 
@@ -62,16 +64,19 @@
 
     def on_news(self, news: News) -> None:
         """Discovery's word. What is left out of a whole list counts as gone."""
-        at = now()
+        at, entries = now(), []
         for entry, address in news.entries:
-            self._note(entry.engine, address, entry.kind, entry.readiness, at)
+            known = self.peers.get(entry.engine)
+            if address or known:  # without an address, only what is known already can be told of
+                self._note(entry.engine, address or known.link.address, entry.kind, entry.readiness, at)
+                entries.append(entry)
         if news.whole:
-            self._only({entry.engine for entry, _ in news.entries}, at)
-        self.router.on_engines([entry for entry, _ in news.entries], news.whole)
+            self._only({entry.engine for entry in entries}, at)
+        self.router.on_engines(entries, news.whole)
 
     def _link(self, address: str) -> Link:
         bounds = (engines.HEAD_BYTES, engines.PIECE_BYTES)
-        return Link(address, self._start.connect_within / 1e6, self._lasting, bounds)
+        return Link(address, self._start.connect_within / 1e6, self._lasting, bounds, self._unused)
 
     async def answer(self, message: Message, reply: Reply) -> None:
         """A client's message, from its last byte to the end of its answer."""
@@ -245,21 +250,17 @@
 
     def _make_room(self) -> None:
         """Engines' connections stay within their part of the descriptors: the longest unused one goes."""
-        links = [peer.link for peer in self.peers.values()]
-        while self._connections + sum(link.idle for link in links) > self.most_connections:
-            oldest = min(links, key=lambda link: link.idle_since)
-            if not oldest.idle:
-                return
-            oldest.drop_oldest()
+        while self._unused and self._connections + len(self._unused) > self.most_connections:
+            next(iter(self._unused.values())).drop_oldest()
 
     async def _release(self, holder: str, client_id: str) -> None:
         """Any engine passes a release on: one heard of lately stands in for a holder that is gone."""
-        others = sorted(
-            (name for name, peer in self.peers.items() if name != holder and peer.readiness != "gone"),
-            key=lambda name: -self.peers[name].heard_at,
-        )
-        for name in [holder, *others][:RELEASE_AT]:
-            if await self._ask(name, engines.release(client_id), RELEASE_WITHIN) is not None:
+        question = engines.release(client_id)
+        if await self._ask(holder, question, RELEASE_WITHIN) is not None:
+            return
+        others = (name for name, p in self.peers.items() if name != holder and p.readiness != "gone")
+        for name in nlargest(RELEASE_AT - 1, others, key=lambda name: self.peers[name].heard_at):
+            if await self._ask(name, question, RELEASE_WITHIN) is not None:
                 return
         log.warning("no engine answered the release of %s", client_id)
 
--- a/lifthead/state.py
+++ b/lifthead/state.py
@@ -65,13 +65,13 @@
     """What this router knows of one engine."""
 
     name: str
-    zone: str
-    cell: int
-    role: str
-    weight: float
-    memory: int
     up_since: int
-    ready: bool
+    zone: str = ""
+    cell: int = 0
+    role: str = ""  # "read", "write", "both"; "": none that the settings name
+    weight: float = 1.0
+    memory: int = 0
+    ready: bool = False
     gone: bool = False  # for good, so far as the list tells
     tokens: int = 0  # of this router's forwards: prompt plus allowed output
     unread: int = 0  # of this router's forwards: prompt tokens not known to be read
--- a/lifthead/terms.py
+++ b/lifthead/terms.py
@@ -9,6 +9,10 @@
 from lifthead.interface import Deployment, Effect, EndpointGroup, Tenant
 
 EFFECTS = {"safe": Effect.REPLAYABLE, "keyed": Effect.KEYED, "unsafe": Effect.NON_REPLAYABLE}
+ROLES = {role: role for role in ("read", "write", "both")}
+WITHIN = {place: place for place in ("all", "zone", "cell")}
+ON_PROBE = {"inline": False, "on_probe": True, "off": False}  # how load reports come
+MUST_ASK = {"pushed": False, "on_request": True}  # how the list of engines does
 
 Fields = dict[str, str]
 
@@ -47,8 +51,8 @@
     return fields[key]
 
 
-def named(table: dict[str, object], fields: Fields, key: str) -> object:
-    value = required(fields, key)
+def named(table: dict[str, Any], fields: Fields, key: str, default: str | None = None) -> Any:
+    value = required(fields, key) if default is None else fields.get(key, default)
     if value not in table:
         raise MalformedError(f"{key}={value[:40]} is not known")
     return table[value]
@@ -86,13 +90,13 @@
 
     per_1000, token = listed("FamilyInfo.AimUsPer1000PromptTokens"), listed("FamilyInfo.TokenAim")
     groups = {}
-    for index in range(whole(env, "Grades.count", 0)):
+    for index in range(whole(env, "Grades.count")):
         at = f"Grades.{index}."
         name = required(env, at + "Name")
         groups[name] = EndpointGroup(
             name=name,
             effect=named(EFFECTS, env, at + "Effect"),
-            keyed_within=env.get(at + "Group", "all"),
+            keyed_within=named(WITHIN, env, at + "Group", "all"),
             keyed_for=whole(env, at + "KeyTtl", 0),
             target=whole(env, at + "Target", 0),
             target_per_1000=nth(per_1000, index, "AimUsPer1000PromptTokens"),
@@ -105,8 +109,11 @@
     for index in range(whole(env, "Tenants.count", 0)):
         name = required(env, f"Tenants.{index}.Name")
         tenants[name] = Tenant(name, real(env, f"Tenants.{index}.QuotaPerS", 0.0))
-    kinds, roles = listed("Flavors"), listed("FamilyInfo.RoleByKind")
+    at = "FamilyInfo.RoleByKind"
+    kinds, roles = listed("Flavors"), listed(at)
     memory = listed("FamilyInfo.KvTokens")
+    if len(roles) != len(kinds):
+        raise MalformedError(f"{at} names {len(roles)} roles for {len(kinds)} Flavors")
     return Deployment(
         zone=env.get("Zone", ""),
         routers=max(1, whole(env, "ReplicasOfMe", 1)),
@@ -114,7 +121,7 @@
         seed=whole(env, "Nonce64", 0),
         groups=groups,
         tenants=tenants,
-        roles=dict(zip(kinds, roles, strict=False)),
+        roles={kind: named(ROLES, {at: role}, at) for kind, role in zip(kinds, roles, strict=True)},
         memory={kind: nth(memory, index, "KvTokens") for index, kind in enumerate(kinds)},
         writers_read=flag(env, "FamilyInfo.LocalRead"),
         let_go_by=whole(env, "FamilyInfo.LetGoBy", 0),
@@ -127,7 +134,7 @@
         may_probe=flag(env, "PolicyLimits.Probes"),
         may_hold_off=flag(env, "PolicyLimits.RetryAfter"),
         max_hold_off=whole(env, "PolicyLimits.MaxRetryAfter", 0),
-        reports_on_probe=env.get("LoadInfo.Via") == "on_probe",
-        must_ask=env.get("MembershipMode") == "on_request",
+        reports_on_probe=named(ON_PROBE, env, "LoadInfo.Via", "off"),
+        must_ask=named(MUST_ASK, env, "MembershipMode", "pushed"),
         ask_within=whole(env, "Rules.MustAskIn", 0),
     )
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 import pytest
 from helpers import Bench, entry, report
 
@@ -635,3 +637,39 @@
     assert router._to_read(router.engines["R1"], 6000, "read") < 2000
     read_all(bench, took=800_000, number=40)  # the texts were lost
     assert router._to_read(router.engines["R1"], 6000, "read") > 4000
+
+
+# Lists that hold what the settings don't know.
+
+
+@pytest.mark.parametrize("weight", [0.0, -1.0, float("nan"), float("inf")])
+@pytest.mark.parametrize("prompt", [100, 5000])
+def test_a_weight_that_is_none_counts_as_the_usual_one(weight, prompt):
+    bench = Bench(*(replace(entry(name), weight=weight) for name in ("R", "W1", "W2")))
+    reqs = [bench.req(prompt, session=f"s{n}", beginning="") for n in range(40)]
+    if prompt > 4096:
+        for req in reqs:
+            bench.end(req, Ending.READ)
+    assert {bench.last(req) for req in reqs} >= {"W1", "W2"}
+
+
+@pytest.mark.parametrize("prompt", [100, 5000])
+def test_an_engine_of_a_kind_that_the_settings_do_not_name_gets_nothing(prompt):
+    bench = Bench(entry("X1"), entry("R"), entry("W"), may_probe=True, reports_on_probe=True)
+    for _ in range(20):
+        bench.serve(prompt)
+        bench.pass_time(400_000)
+    assert {name for sent in bench.sent.values() for name in sent} <= {"R", "W"}
+    assert {name for _, name in bench.calls("probe")} == {"R", "W"}
+    bench.router.on_engines([entry("X1", readiness="draining"), entry("X1", readiness="gone")], False)
+    bench.serve(prompt)
+
+
+def test_an_engine_back_as_another_kind_is_what_the_list_says():
+    bench = Bench(entry("R1"), entry("W1"))
+    back = [replace(entry("R1"), kind="W", up_since=5), replace(entry("W1"), kind="R")]
+    bench.router.on_engines(back, False)
+    req = bench.req(5000)
+    assert bench.last(req) == "W1"
+    bench.end(req, Ending.READ)
+    assert bench.last(req) == "R1"
--- /dev/null
+++ b/tests/test_size.py
@@ -0,0 +1,108 @@
+"""Lists of 1,024 engines: what a req, a whole list and an engine cost, against 60.
+
+Work is counted, not timed: lines of Python that run, so that the verdict is the same on every machine.
+"""
+
+import asyncio
+import json
+import sys
+import tracemalloc
+
+import pytest
+from helpers import Bench, entry, report
+from onenode import config, news, target
+
+from lifthead.interface import Ending
+from lifthead.node.discovery import news_of
+from lifthead.node.host import Host
+from lifthead.node.start import start_of
+
+SMALL, LARGE = 60, 1024
+
+
+def lines_run(what):
+    """How many lines of Python run in it."""
+    count = 0
+
+    def trace(frame, event, arg):
+        nonlocal count
+        count += event == "line"
+        return trace
+
+    before = sys.gettrace()
+    sys.settrace(trace)
+    try:
+        what()
+    finally:
+        sys.settrace(before)
+    return count
+
+
+def fleet(size, cold=False):
+    """A third are readers; cells of eight."""
+    names = [f"{'R' if n % 3 == 0 else 'W'}{n}" for n in range(size)]
+    return [entry(name, "ab"[n % 2], n // 8, up_since=99_000_000 * cold) for n, name in enumerate(names)]
+
+
+def serve(bench, prompt, key):
+    req = bench.req(prompt, beginning=f"p{key}", session=f"s{key}")
+    if bench.last(req).startswith("R"):
+        bench.end(req, Ending.READ, report=report(queued=0, unread_thousands=1.0))
+    bench.begin(req)
+    bench.end(req, Ending.DONE)
+
+
+@pytest.mark.parametrize("prompt", [200, 9000])
+@pytest.mark.parametrize("on_probe", [False, True])
+def test_a_reqs_work_does_not_grow_with_the_fleet(prompt, on_probe):
+    def work(size):
+        bench = Bench(*fleet(size), may_probe=on_probe, reports_on_probe=on_probe)
+        for key in range(40):
+            serve(bench, prompt, key % 10)
+        return lines_run(lambda: [serve(bench, prompt, key % 10) for key in range(40)])
+
+    assert work(LARGE) < 1.5 * work(SMALL)
+
+
+def node_with(size, play):
+    async def run():
+        async with asyncio.TaskGroup() as tasks:
+            host = Host(start_of(json.dumps(config()).encode()), tasks)
+            text = news(
+                *(target(f"{'rd' if n % 3 == 0 else 'wr'}{n}", f"127.0.0.1:{n + 1}") for n in range(size))
+            )
+            return play(host, text)
+
+    return asyncio.run(run())
+
+
+def test_a_whole_lists_work_grows_with_its_length_alone():
+    def work(size):
+        def play(host, text):
+            def take():
+                host.on_news(news_of(text))
+                host.router._settle()
+
+            return lines_run(take), lines_run(take)
+
+        return node_with(size, play)
+
+    for small, large in zip(work(SMALL), work(LARGE), strict=True):
+        assert large < 1.3 * small * LARGE / SMALL
+
+
+def test_what_an_engine_costs_in_memory_is_the_same_at_any_size():
+    def bytes_each(size):
+        def play(host, text):
+            tracemalloc.start()
+            try:
+                host.on_news(news_of(text))
+                host.router._settle()
+                return tracemalloc.get_traced_memory()[0] / size
+            finally:
+                tracemalloc.stop()
+
+        return node_with(size, play)
+
+    small, large = bytes_each(SMALL), bytes_each(LARGE)
+    assert large < 1.2 * small and large < 4096
