A read state is let go before connections that don't come up hold it too long

Log of one: READ at 16.094, then three fetches to writers of a zone that was cut off, each "UNREACHABLE took250", GIVEUP at 16.847. The log has 13 such reqs, held 0.75 s each; the settings allow 0.3 s. Cause: control.on_ended went on to the next writer however long the state was held; let_go_by was used nowhere. Ruled out: releases without an answer (8, at 5.58 s), reads called off or broken (none of the 13). Changed: time runs from the last word of a forward that got through; where another connection that takes as long would pass let_go_by the state is freed and the prompt read anew, its text being kept there.

--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -110,6 +110,7 @@
         self.memory = deployment.memory
         self.writers_read = deployment.writers_read
         self.max_forwards = deployment.max_forwards
+        self.let_go_by = deployment.let_go_by
         self.may_cancel = deployment.may_cancel
         self.probes = deployment.reports_on_probe and deployment.may_probe
         self.hold_off = deployment.max_hold_off if deployment.may_hold_off else 0
@@ -311,6 +312,13 @@
             self.host.free_state(req_id)
             del self.reqs[req_id]
             return
+        never_up = ending in (Ending.UNREACHABLE, Ending.NOT_SENT)
+        if not never_up:
+            req.held_since = now
+        elif req.held_at and self.let_go_by and now + took > req.held_since + self.let_go_by:
+            # Rule 5: nobody fetches while connections don't come up, and the next may take as long as this.
+            self.host.free_state(req_id)
+            req.held_at = None
         if ending is Ending.READ:
             req.held_at = forward.engine
             req.tried &= {req.demand.ran}
@@ -322,7 +330,7 @@
             # Left alone for a while, so that not every req finds out anew. Covers full, throttling engines.
             forward.engine.barred[req.demand.group] = now + BARRED_FOR
             self.watched[forward.engine] = None
-        if forward.reading or ending in (Ending.BUSY, Ending.UNREACHABLE, Ending.NOT_SENT):
+        if forward.reading or never_up or ending is Ending.BUSY:
             return self._route(req)  # proven not run
         if req.may_have_run is None:
             req.may_have_run, req.run_window_ends = forward.engine, forward.sent_at + req.group.keyed_for
--- a/lifthead/state.py
+++ b/lifthead/state.py
@@ -139,6 +139,7 @@
     forwards: int = 0
     out: Forward | None = None
     held_at: Engine | None = None  # the reader where its state waits
+    held_since: int = 0  # since when no forward that got through has been out for it
     may_have_run: Engine | None = None
     run_window_ends: int = 0
     answered: bool = False
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -288,6 +288,33 @@
     assert ("free_state", req_id) in bench.did and bench.answers(req_id) == ["push_back"]
 
 
+@pytest.mark.parametrize(
+    ("took", "kept"), [(250_000, False), (160_000, False), (140_000, True), (1_000, True)]
+)  # the settings allow 300 ms
+def test_a_state_is_not_held_through_one_connection_after_another_that_does_not_come_up(took, kept):
+    bench = Bench(entry("R1"), *(entry(f"W{n}") for n in range(5)))
+    req = bench.req(5000)
+    bench.end(req, Ending.READ)
+    bench.clock += took
+    bench.end(req, Ending.UNREACHABLE, took=took)
+    assert (bench.calls("free_state") == []) == kept
+    assert bench.last(req)[0] == ("W" if kept else "R")
+    if not kept:  # read anew, and fetched from there
+        bench.end(req, Ending.READ)
+        assert bench.last(req)[0] == "W" and len(set(bench.sent[req])) == 3
+
+
+def test_a_state_is_held_for_its_time_from_the_last_word_of_a_writer():
+    bench = Bench(entry("R1"), *(entry(f"W{n}") for n in range(5)))
+    req = bench.req(5000)
+    bench.end(req, Ending.READ)
+    bench.clock += 800_000
+    bench.end(req, Ending.BUSY, took=800_000)
+    bench.clock += 100_000
+    bench.end(req, Ending.UNREACHABLE, took=100_000)
+    assert bench.calls("free_state") == [] and bench.last(req)[0] == "W"
+
+
 def test_a_state_that_is_gone_is_read_anew():
     bench = Bench(*CELL)
     req_id = bench.req()
