A req that could not reach two engines of a zone goes on to others; releases ask every zone

Cause: control._unfit left out engines one by one, and the key's order gives a lost zone's readers first; node/host._release went by what was heard last alone. Ruled out: that 0.25 s a connection is what runs out (took 0 to 1 ms in a lost zone).

--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -324,6 +324,8 @@
             req.tried &= {req.demand.ran}
             return self._route(req)
         req.tried.add(name)
+        if ending is Ending.UNREACHABLE:
+            req.unreached.append(forward.engine.zone)
         if ending is Ending.BUSY and note == 1:
             req.held_at = None  # the state is gone: read anew if there is time
         elif ending is Ending.BUSY:
@@ -542,7 +544,13 @@
             if cold or (e in ill and not (self._trial(e, req, now) or (trust_all and e not in down))):
                 unfit.add(e)
         barred = {e for e in watched if now < max(map(e.barred.get, (ANY, req.demand.group), (0, 0)))} - unfit
-        return unfit | barred if len(unfit) + len(barred) < len(engines) else unfit
+        # Exception, a lost zone: a req that could not reach two engines of a zone goes on to others, for it
+        # has few forwards. Only that req: if all left the zone, one lost rack would drown the others.
+        lost = {zone for zone in req.unreached if req.unreached.count(zone) > 1}
+        left = {e for e in engines if e.zone in lost} if lost else set()
+        for more in (left, barred):
+            unfit = unfit | more if len(unfit | more) < len(engines) else unfit
+        return unfit
 
     def _watch(self, now: int) -> list[Engine]:
         """Engines with something against them: strikes, lost connections, cold, barred, or a late answer."""
--- a/lifthead/node/host.py
+++ b/lifthead/node/host.py
@@ -9,7 +9,6 @@
 import asyncio
 import logging
 from dataclasses import dataclass
-from heapq import nlargest
 
 from lifthead import control, hosting
 from lifthead.chat.server import Reply
@@ -24,7 +23,8 @@
 
 ASK_WITHIN = 0.5  # seconds for a probe; the module is told nothing of a lost one
 RELEASE_WITHIN = 0.12  # seconds for an engine to answer a release before another is asked
-RELEASE_AT = 3  # engines that are asked at most
+RELEASE_AT = 3  # times that engines are asked: the holder first
+RELEASE_ZONES = 4  # engines that are asked at once, each of another zone
 SWEEP_EVERY = 0.5  # seconds
 GONE_FOR = 20_000_000  # microseconds for which an engine that is gone is remembered: it may be back
 
@@ -45,6 +45,7 @@
     """An engine as the node knows it."""
 
     heard_at: int = 0
+    zone: str = ""
 
 
 class Host(Hosting):
@@ -68,7 +69,8 @@
         for entry, address in news.entries:
             known = self.peers.get(entry.engine)
             if address or known:  # without an address, only what is known already can be told of
-                self._note(entry.engine, address or known.link.address, entry.kind, entry.readiness, at)
+                address = address or known.link.address
+                self._note(entry.engine, address, entry.kind, entry.readiness, at).zone = entry.zone
                 entries.append(entry)
         if news.whole:
             self._only({entry.engine for entry in entries}, at)
@@ -254,13 +256,20 @@
             next(iter(self._unused.values())).drop_oldest()
 
     async def _release(self, holder: str, client_id: str) -> None:
-        """Any engine passes a release on: one heard of lately stands in for a holder that is gone."""
+        """Any engine passes a release on. Where the holder does not answer, the ones last heard of are asked,
+        each of another zone at a time: a zone that is cut off was heard of until a moment ago."""
         question = engines.release(client_id)
         if await self._ask(holder, question, RELEASE_WITHIN) is not None:
             return
-        others = (name for name, p in self.peers.items() if name != holder and p.readiness != "gone")
-        for name in nlargest(RELEASE_AT - 1, others, key=lambda name: self.peers[name].heard_at):
-            if await self._ask(name, question, RELEASE_WITHIN) is not None:
+        there: dict[str, list[str]] = {self._start.deployment.zone: []}
+        for name in sorted(self.peers, key=lambda name: -self.peers[name].heard_at):
+            if name != holder and self.peers[name].readiness != "gone":
+                there.setdefault(self.peers[name].zone, []).append(name)
+        zones = [names for names in there.values() if names][:RELEASE_ZONES]
+        for turn in range(RELEASE_AT - 1):
+            asked = [names[turn] for names in zones if turn < len(names)]
+            answers = await asyncio.gather(*(self._ask(name, question, RELEASE_WITHIN) for name in asked))
+            if any(answers):
                 return
         log.warning("no engine answered the release of %s", client_id)
 
@@ -280,7 +289,9 @@
         self._connections += 1
         try:
             self._make_room()
-            return await peer.link.ask(data, within)
+            answer = await peer.link.ask(data, within)
+            peer.heard_at = now() if answer else peer.heard_at
+            return answer
         finally:
             self._connections -= 1
 
--- a/lifthead/state.py
+++ b/lifthead/state.py
@@ -145,3 +145,4 @@
     answered: bool = False
     began: bool = False
     tried: set[str] = field(default_factory=set)
+    unreached: list[str] = field(default_factory=list)  # zones of engines to which no connection was made
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -315,6 +315,34 @@
     assert bench.calls("free_state") == [] and bench.last(req)[0] == "W"
 
 
+@pytest.mark.parametrize("prompt", [100, 5000])
+@pytest.mark.parametrize(
+    ("endings", "zone"),
+    [
+        ([Ending.UNREACHABLE], "a"),
+        ([Ending.UNREACHABLE, Ending.UNREACHABLE], "b"),
+        ([Ending.UNREACHABLE, Ending.BUSY], "a"),
+    ],
+)
+def test_a_req_that_could_not_reach_two_engines_of_a_zone_goes_on_to_others(prompt, endings, zone):
+    role = "R" if prompt > 4096 else "W"
+    bench = Bench(*(entry(f"{kind}{place}{n}", place) for kind in "RW" for place in "ab" for n in range(9)))
+    req = bench.req(prompt)
+    for ending in endings:
+        assert bench.last(req)[:2] == role + "a"
+        bench.end(req, ending, took=1000)
+    assert bench.last(req)[:2] == role + zone
+    assert bench.last(bench.req(prompt, session="other", beginning="q"))[:2] == role + "a"  # no other req
+
+
+def test_a_req_goes_on_in_the_zone_that_it_could_not_reach_where_there_is_no_other():
+    bench = Bench(*(entry(f"{kind}{n}") for kind in "RW" for n in range(5)))
+    req = bench.req(5000)
+    for _ in range(3):
+        bench.end(req, Ending.UNREACHABLE, took=1000)
+    assert len(set(bench.sent[req])) == 4 and bench.last(req)[0] == "R"
+
+
 def test_a_state_that_is_gone_is_read_anew():
     bench = Bench(*CELL)
     req_id = bench.req()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -548,6 +548,28 @@
     assert wr.of("DELETE") == ["DELETE /bootstrap/rooms/a1 HTTP/1.1"]
 
 
+def test_a_release_finds_a_zone_that_answers_though_another_was_heard_of_last():
+    async def play(node):
+        node.tell(*(target(uid, at, az="a" if uid == "wr0" else "b") for uid, at in node.listed.items()))
+        for name in ("rd", "wr1", "wr2", "wr3"):
+            node.host.peers[name].heard_at = 1 << 60  # of zone b, which is cut off from here on
+        async with Client(node.address) as client:
+            await client.send(chat(5000))
+            await node.until(lambda: rd.of("POST"))
+        began = time.monotonic()
+        await node.until(lambda: near.of("DELETE"))
+        return time.monotonic() - began
+
+    class Silent(Engine):
+        async def connection(self, reader, writer):
+            while await reader.read(1000):
+                self.came.append(("POST", {}))
+            writer.close()
+
+    rd, near = Silent(), Engine()
+    assert played(play, rd=rd, wr0=near, wr1=Silent(), wr2=Silent(), wr3=Silent()) < 2.5 * host.RELEASE_WITHIN
+
+
 def test_an_answer_goes_out_by_the_clients_time():
     began = time.monotonic()
     status, *_ = played(lambda node: ask(node.address, chat(100, waits="300")), wr=Engine([HANG]))
