--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -160,6 +160,55 @@
     assert bench.answers(req_id) == ["abort"] and len(bench.sent[req_id]) == forwards
 
 
+def refuses_all(bench, group):
+    req_id = bench.req(6000, group=group)
+    while not bench.answers(req_id):
+        bench.end(req_id, Ending.BUSY)
+    return req_id
+
+
+def no_engine(bench, group):
+    bench.router.on_engines([], whole_list=True)
+    return bench.req(6000, group=group)
+
+
+def loses_its_answer(bench, group):
+    req_id = bench.req(100, group=group)
+    bench.end(req_id, Ending.BROKEN)
+    return req_id
+
+
+def loses_every_answer(bench, group):
+    req_id = bench.req(100, group=group)
+    while not bench.answers(req_id):
+        bench.end(req_id, Ending.BROKEN)
+    return req_id
+
+
+@pytest.mark.parametrize("hold_off", [0, 500_000])
+@pytest.mark.parametrize(
+    ("comes_to_it", "group", "answer"),
+    [
+        (refuses_all, "chat", "push_back"),
+        (refuses_all, "pay", "push_back"),
+        (refuses_all, "mark", "push_back"),
+        (no_engine, "chat", "push_back"),
+        (no_engine, "pay", "push_back"),
+        (loses_its_answer, "pay", "abort"),
+        (loses_every_answer, "chat", "push_back"),
+        (loses_every_answer, "mark", "abort"),
+    ],
+)
+def test_what_is_given_up_is_answered_in_the_same_turn(comes_to_it, group, answer, hold_off):
+    """Nothing holds a final answer back so that its client won't ask again. Where the settings allow it, a
+    pushback names a time to come back."""
+    bench = Bench(*CELL, may_hold_off=hold_off > 0, max_hold_off=hold_off)
+    began, req_id = bench.clock, comes_to_it(bench, group)
+    assert bench.answers(req_id) == [answer] and bench.clock == began
+    for _, _, named in bench.calls("push_back"):
+        assert hold_off // 2 <= named <= hold_off
+
+
 def test_a_begun_stream_has_no_deadline():
     bench = Bench(*CELL)
     req_id = bench.req(100)
