--- a/lifthead/chat/server.py
+++ b/lifthead/chat/server.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import contextlib
+import itertools
 import logging
 import math
+import select
 import socket
 from collections.abc import Awaitable, Callable
 from typing import Protocol
@@ -14,13 +16,29 @@
 READ = 65_536
 LINGER = 1.0  # seconds
 LINGER_BYTES = 1 << 20  # of a peer that goes on sending what is not taken
+EARLY_BYTES = 1 << 19  # that a client may send behind a request that is not answered yet
+EARLY_PAUSE = 0.005  # seconds between reads of what a client sends past that
 ACCEPT_AGAIN = 0.02  # seconds, while no descriptor is to be had
+LOOKED_AT = 16  # idle connections that are looked at when one is to give way
 SILENT_FOR = 0.1  # seconds after which a connection without an open req may give way to a new one
 FIRST_WITHIN = 1.0  # seconds for the first req of a connection that was accepted before a stop
 JSON = {"content-type": "application/json"}
 
 log = logging.getLogger(__name__)
 
+_ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
+
+def _seen(writer: asyncio.StreamWriter, what: int) -> bool:
+    """Whether the system shows this on the connection now, read by the loop or not."""
+    if (peer := writer.get_extra_info("socket")) is None:
+        return False
+    if peer.fileno() < 0:
+        return True
+    looking = select.poll()
+    looking.register(peer.fileno(), what)
+    return any(found & what for _, found in looking.poll(0))
+
 
 class Bounds(Protocol):
     """What clients may send and hold: bytes, microseconds, and a count of connections."""
@@ -44,6 +62,12 @@
         self.left: Callable[[], None] | None = None
         self.finished = asyncio.Event()
 
+    @property
+    def gone(self) -> bool:
+        """Whether the client has left, though its end may still wait behind the loop's other work. The end of
+        its sending counts: a close can't be told from it."""
+        return self.over or self._writer.transport.is_closing() or _seen(self._writer, _ENDED)
+
     def whole(self, status: int, body: bytes, headers: Headers = JSON) -> None:
         """A whole answer at once."""
         if self.begun:
@@ -111,6 +135,9 @@
             self._writer.write(data)
 
 
+Waiting = dict[asyncio.StreamWriter, tuple[float, asyncio.Timeout]]
+
+
 class Clients:
     """Accepts connections and hands each whole req to `serve`, one at a time for a connection.
 
@@ -130,9 +157,9 @@
         self._error = error
         self._first_within = first_within
         self._open: set[asyncio.StreamWriter] = set()
-        # Those without an open req, longest first, and since when.
-        self._idle: dict[asyncio.StreamWriter, float] = {}
-        self._fresh: dict[asyncio.StreamWriter, float] = {}  # no req has come on them yet
+        # Those without an open req, longest first: since when, and the time-out of their reading.
+        self._idle: Waiting = {}
+        self._fresh: Waiting = {}  # no req has come on them yet
         self._entering = 0
         self.stopping = False
 
@@ -145,7 +172,7 @@
         all are in use, one that is idle gives way; else new ones wait where the system keeps them."""
         loop = asyncio.get_running_loop()
         while True:
-            if self.connections >= self.limits.connections and not self._make_room():
+            if self.connections >= self.limits.connections and not self.make_room():
                 await asyncio.sleep(ACCEPT_AGAIN)
                 continue
             try:
@@ -172,30 +199,34 @@
         except Exception:  # guards all other clients against a fault of ours in this one's connection
             log.exception("a client's connection")
 
-    def _make_room(self) -> bool:
-        """Closes the connection that has waited longest without an open req: silent ones first, which sent
-        nothing yet. Those that were accepted just now are spared: their bytes are on their way."""
+    def make_room(self) -> bool:
+        """Has the connection closed that has waited longest without an open req: silent ones first, which
+        sent nothing yet. Those that were accepted just now are spared: their bytes are on their way. So are
+        those with bytes that nobody has read yet, or with an answer that is still on its way out."""
         now = asyncio.get_running_loop().time()
         for waiting in (self._fresh, self._idle):
-            writer, since = next(iter(waiting.items()), (None, now))
-            if writer and now - since > SILENT_FOR:
-                del waiting[writer]
-                self._open.discard(writer)
-                writer.transport.abort()
-                return True
+            for writer, (since, reading) in itertools.islice(waiting.items(), LOOKED_AT):
+                unsent = writer.transport.get_write_buffer_size()
+                spared = now - since <= SILENT_FOR or unsent or reading.expired()
+                if not spared and not _seen(writer, select.POLLIN):
+                    del waiting[writer]
+                    self._open.discard(writer)
+                    reading.reschedule(now)
+                    return True
         return False
 
     def stop(self) -> None:
         """Idle connections close now, the others after the answer that they are at. A new one has a moment
         for its first req: it was accepted, and its client's bytes may be on their way."""
         self.stopping = True
-        for writer in list(self._idle):
-            writer.close()
-        asyncio.get_running_loop().call_later(FIRST_WITHIN, self._close_fresh)
+        self._close(self._idle)
+        asyncio.get_running_loop().call_later(FIRST_WITHIN, self._close, self._fresh)
 
-    def _close_fresh(self) -> None:
-        for writer in list(self._fresh):
-            writer.close()
+    def _close(self, waiting: Waiting) -> None:
+        """Only the reading ends: what had come by then is answered, what comes later is not read."""
+        for _, reading in waiting.values():
+            if not reading.expired():
+                reading.reschedule(asyncio.get_running_loop().time())
 
     async def closed(self) -> None:
         """Returns once no connection is open."""
@@ -225,7 +256,7 @@
     async def _talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         parser = http1.ReqParser(self.limits.header_bytes, self.limits.body_bytes)
         idle = self._fresh
-        while not self.stopping or idle is self._fresh:
+        while True:
             try:
                 message = await self._next(reader, writer, parser, idle)
                 idle = self._idle
@@ -250,7 +281,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         parser: http1.ReqParser,
-        idle: dict[asyncio.StreamWriter, float],
+        idle: Waiting,
     ) -> Message | None:
         """The next whole req; None if the client is done. Guards against slow senders: a head and a body
         each have their time."""
@@ -259,25 +290,29 @@
         first = idle is self._fresh and self._first_within
         latest = loop.time() + first if first else math.inf
         while not parser.ready:
+            if parser.broken:
+                raise parser.broken from None
             if parser.partial:
                 if since is None or in_head != parser.in_head:
                     since, in_head = loop.time(), parser.in_head
                 until = since + (limits.header_within if in_head else limits.body_within) / 1e6
             else:
-                until = loop.time() + limits.idle_for / 1e6
-                idle[writer] = loop.time()
+                resting = 0 if self.stopping and idle is self._idle else limits.idle_for / 1e6
+                until = loop.time() + resting
             try:
-                async with asyncio.timeout_at(min(until, latest)):
+                async with asyncio.timeout_at(min(until, latest)) as reading:
+                    if not parser.partial:
+                        idle[writer] = (loop.time(), reading)
                     data = await reader.read(READ)
             except TimeoutError:
                 if parser.partial:
                     raise HttpError(408, "the req did not come in time") from None
-                return None
+                data = await _come(reader)  # read from the system by then, so it has to be answered
             finally:
                 idle.pop(writer, None)
             if not data:
                 return None
-            parser.feed(data)
+            parser.take(data)
         return parser.ready.popleft()
 
     async def _linger(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -292,20 +327,28 @@
                     left -= len(data)
 
     async def _watch(self, reader: asyncio.StreamReader, parser: http1.ReqParser, reply: Reply) -> None:
-        """Sees at once that the client left. What it sends early is parsed, up to the body's bound; a client
-        that closes its sending side counts as gone."""
-        try:
-            while not parser.ready:
-                data = await reader.read(READ)
-                if not data:
-                    break
-                parser.feed(data)
-            else:
-                return
-        except (HttpError, ConnectionError):
-            pass
+        """Sees at once that the client left, whatever it sent before: reading goes on to the end. What comes
+        early is parsed, up to a bound, and waits its turn; what comes past that, or can't be read, is thrown
+        away. A client that closes its sending side counts as gone."""
+        early = 0
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(READ):
+                early += len(data)
+                if early > EARLY_BYTES:
+                    parser.broken = HttpError(413, f"over {EARLY_BYTES} bytes came before an answer")
+                parser.take(data)
+                if parser.broken:  # guards memory and the loop against a flood behind a request
+                    await asyncio.sleep(EARLY_PAUSE)
         reply.keep_alive = False
         if not reply.over:
             reply.drop()
             if reply.left:
                 reply.left()
+
+
+async def _come(reader: asyncio.StreamReader) -> bytes:
+    """What has come and was not taken yet; b"" if nothing."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(0):
+            return await reader.read(READ)
+    return b""
--- a/lifthead/http1.py
+++ b/lifthead/http1.py
@@ -3,6 +3,7 @@
 Parsing is httptools' (docs/performance.md has the measurement against h11); the bounds are ours.
 """
 
+import re
 from collections import deque
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -12,6 +13,8 @@
 Headers = dict[str, str]  # names in lower case; of a name that stands twice, values joined by commas
 
 
+_HOST = re.compile(r"[0-9A-Za-z._-]{1,253}").fullmatch
+_PORT = re.compile(r"[0-9]{1,5}").fullmatch
 MOST_ANNOUNCED = 8  # answers of 1xx before the one that was asked for
 
 
@@ -93,9 +96,18 @@
     def __init__(self, header_bytes: int, body_bytes: int) -> None:
         self._llhttp = httptools.HttpRequestParser(self)
         self.ready: deque[Message] = deque()
+        self.broken: HttpError | None = None  # what came behind those in `ready` can't be read
         self._body: list[bytes] = []
         super().__init__(header_bytes, body_bytes)
 
+    def take(self, data: bytes) -> None:
+        """As `feed`, but what can't be read is told in its turn, behind the requests that are whole."""
+        try:
+            if not self.broken:
+                self.feed(data)
+        except HttpError as problem:
+            self.broken = problem
+
     def on_message_begin(self) -> None:
         self._begin()
         self._body = []
@@ -214,9 +226,11 @@
 
 
 def address_of(text: str) -> tuple[str, int]:
-    """HOST:PORT; ValueError if it is none."""
+    """HOST:PORT; ValueError if it is none, or one that no connection could be asked for."""
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit():
+    # Anything else fails otherwise than by OSError when it is connected to.
+    usable = _HOST(host) and max(map(len, host.split("."))) < 64
+    if not usable or not _PORT(port) or not 0 <= int(port) < 65_536:
         raise ValueError(f"{text!r:.60} is no address, expected HOST:PORT")
     return host, int(port)
 
--- a/lifthead/node/discovery.py
+++ b/lifthead/node/discovery.py
@@ -7,6 +7,7 @@
 import asyncio
 import logging
 import math
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -19,9 +20,11 @@
 
 READ = 65_536
 MOST_OBJECT = 4 << 20  # bytes
-SILENT_FOR = 2.9  # seconds; an empty line comes every 2 s while nothing changes
-CONNECT_WITHIN = 0.5  # seconds
-AGAIN_AFTER = 0.1  # seconds
+# A change counts as told 6 s after discovery had it and could be reached, whatever became of earlier
+# calls. The longest way back to a list is a call made a moment before: the three below in a row, seconds.
+SILENT_FOR = 2.9  # without a whole line; an empty one comes every 2 s while nothing changes
+CONNECT_WITHIN = 0.5
+AGAIN_WITHIN = (0.1, 0.4)  # the longest pause before the next call, after one failure and after many in a row
 LATEST = 1 << 42  # milliseconds of Unix time, in the year 2109: a start told later was never meant
 STATES = ("ready", "draining", "gone")
 
@@ -114,6 +117,11 @@
         self._lines: list[bytes] = []
         self._size = 0
 
+    @property
+    def whole(self) -> bool:
+        """Whether nothing was begun that is not at its end."""
+        return not self._lines
+
     def take(self, line: bytes) -> News | None:
         """The news that this line ends, if it ends one; StrangeNewsError if it belongs to none. An empty line
         only tells that the watch lives."""
@@ -136,13 +144,20 @@
 
 
 class Follower:
-    """Keeps the list as discovery has it. `version` is that of the list in hand, 0 for none."""
+    """Keeps the list as discovery has it. `version` is that of the list in hand, 0 for none. The pauses
+    between its calls are drawn by chance: processes that lost discovery in one instant don't ask in one for
+    ever."""
 
-    def __init__(self, address: tuple[str, int], version: int, on_news: Callable[[News], None]) -> None:
+    def __init__(
+        self, address: tuple[str, int], version: int, on_news: Callable[[News], None], seed: int = 0
+    ) -> None:
         self.address = address
         self.version = version
         self._on_news = on_news
+        self._chance = random.Random(seed)
+        self._failures = 0  # calls in a row that brought no whole line
         self._strange = 0  # watches in a row that ended with what is no news
+        self._last_said = ""
         self._writer: asyncio.StreamWriter | None = None
         self._turned = asyncio.Event()
 
@@ -160,17 +175,25 @@
         while True:
             self._turned.clear()
             address = self.address
+            self._failures += 1  # until a line shows otherwise
             try:
                 await self._watch(address)
             except (OSError, TimeoutError, HttpError, StrangeNewsError) as problem:
                 self._strange += isinstance(problem, StrangeNewsError)
-                log.info("the watch at %s ended: %s", address, str(problem)[:200] or type(problem).__name__)
+                self._say(f"the watch at {address} ended: {str(problem)[:200] or type(problem).__name__}")
+            longest = min(AGAIN_WITHIN[0] * max(self._failures, 1), AGAIN_WITHIN[1])
             try:
-                async with asyncio.timeout(AGAIN_AFTER):
+                async with asyncio.timeout(longest * self._chance.uniform(0.2, 1.0)):
                     await self._turned.wait()
             except TimeoutError:
                 pass
 
+    def _say(self, what: str) -> None:
+        """Once, not at each call while discovery stays as it is."""
+        if what != self._last_said:
+            log.info("%s", what)
+        self._last_said = what
+
     async def _watch(self, address: tuple[str, int]) -> None:
         """One watch, to its end. TimeoutError if it falls silent."""
         async with asyncio.timeout(CONNECT_WITHIN):
@@ -183,18 +206,22 @@
             path = f"/v1/endpoints?stream=1&index={self.version if self._strange < 2 else 0}"
             writer.write(http1.head(f"GET {path} HTTP/1.1", {"host": address[0]}))
             lines, gathering = http1.Lines(MOST_OBJECT), Gathering()
-            while not lines.answer.complete:
-                async with asyncio.timeout(SILENT_FOR):
+            # Bytes alone show no life: half a line, or an object that never ends, is as good as silence.
+            async with asyncio.timeout(SILENT_FOR) as silence:
+                while not lines.answer.complete:
                     data = await reader.read(READ)
-                if not data:
-                    return
-                found, head = lines.feed(data), lines.answer.head
-                if head and head.status != 200:
-                    raise StrangeNewsError(f"status {head.status}")
-                for line in found:
-                    if news := gathering.take(line):
-                        self.version, self._strange = news.version, 0
-                        self._on_news(news)
+                    if not data:
+                        return
+                    found, head = lines.feed(data), lines.answer.head
+                    if head and head.status != 200:
+                        raise StrangeNewsError(f"status {head.status}")
+                    for line in found:
+                        if news := gathering.take(line):
+                            self.version, self._strange = news.version, 0
+                            self._on_news(news)
+                        if gathering.whole:
+                            self._failures, self._last_said = 0, ""
+                            silence.reschedule(asyncio.get_running_loop().time() + SILENT_FOR)
         finally:
             self._writer = None
             writer.transport.abort()
--- a/lifthead/node/host.py
+++ b/lifthead/node/host.py
@@ -8,7 +8,8 @@
 
 import asyncio
 import logging
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
 
 from lifthead import control, hosting
 from lifthead.chat.server import Reply
@@ -26,6 +27,7 @@
 RELEASE_AT = 3  # times that engines are asked: the holder first
 RELEASE_ZONES = 4  # engines that are asked at once, each of another zone
 SWEEP_EVERY = 0.5  # seconds
+SAID_MOST = 8  # different things that are logged of one engine
 GONE_FOR = 20_000_000  # microseconds for which an engine that is gone is remembered: it may be back
 
 log = logging.getLogger(__name__)
@@ -46,6 +48,7 @@
 
     heard_at: int = 0
     zone: str = ""
+    said: set[str] = field(default_factory=set)  # what was logged of it
 
 
 class Host(Hosting):
@@ -57,6 +60,7 @@
         self._open_ids: set[str] = set()
         self._connections = 0  # to engines, in use
         self.most_connections = start.engines
+        self.shed: Callable[[], object] = bool  # has an idle client's connection closed
         self._unused: dict[Connection, Link] = {}  # to engines, the one that waits longest first
         self._lasting = Lasting(start.idle_close / 1e6 * engines.IDLE_PART)
         self.router = control.Router(self, start.deployment)
@@ -83,7 +87,7 @@
     async def answer(self, message: Message, reply: Reply) -> None:
         """A client's message, from its last byte to the end of its answer."""
         if message.path == clients.READY and message.method == "GET":
-            return reply.whole(200 if self.peers else 503, b"")
+            return reply.whole(200 if self._served else 503, b"")
         try:
             demand = clients.demand_of(message, self._next, self._groups)
             client_id = message.headers[clients.ID]
@@ -102,6 +106,11 @@
         await reply.finished.wait()
         self._forget(hand)
 
+    @property
+    def _served(self) -> bool:
+        """Whether a request would be: some engine is there for it."""
+        return any(peer.readiness == "ready" and peer.kind in self._roles for peer in self.peers.values())
+
     def _left(self, hand: InHand) -> None:
         """The client went away: what is out for it is called off, what is held is let go of."""
         if not self._answered(hand, "left"):
@@ -164,7 +173,7 @@
             sight = Sight.OUT_OF_TIME if connection else Sight.NO_CONNECTION
             if hand.begun:
                 sight = Sight.STALLED
-                log.warning("a stream of %s fell silent and was cut", out.engine)
+                _say_once(peer, out.engine, "a stream fell silent and was cut")
         except asyncio.CancelledError:
             if not out.called_off:
                 raise  # the process ends
@@ -173,7 +182,7 @@
             sight = Sight.CUT if connection else Sight.NO_CONNECTION
         except HttpError as problem:
             sight = Sight.STRANGE
-            log.info("strange answer of %s: %s", out.engine, problem.said[:120])
+            _say_once(peer, out.engine, f"strange answer: {problem.said[:120]}")
         except Exception:  # guards all other reqs against a fault of ours in this one
             sight = Sight.CUT
             log.exception("a forward to %s", out.engine)
@@ -189,6 +198,9 @@
         """Sends a forward and reads its answer: what was seen, tokens found kept, the load told with it."""
         if self._too_late(peer):
             return Sight.STALE, 0, None
+        if hand.reply.gone:  # what tells the loop may wait behind other work: nothing is begun for it
+            self._left(hand)
+            return Sight.CALLED_OFF, 0, None
         out.sent_at = now()
         if out.reading:
             hand.may_hold = out.engine
@@ -251,9 +263,12 @@
         self._forget(hand)
 
     def _make_room(self) -> None:
-        """Engines' connections stay within their part of the descriptors: the longest unused one goes."""
+        """Engines' connections stay within their part of the descriptors: the longest unused one goes, then
+        an idle client. What is out for clients stays within: there are fewer of those (start.CLIENTS)."""
         while self._unused and self._connections + len(self._unused) > self.most_connections:
             next(iter(self._unused.values())).drop_oldest()
+        if self._connections > self.most_connections:
+            self.shed()
 
     async def _release(self, holder: str, client_id: str) -> None:
         """Any engine passes a release on. Where the holder does not answer, the ones last heard of are asked,
@@ -317,3 +332,10 @@
             return False
         self._open_ids.discard(hand.message.headers[clients.ID])
         return True
+
+
+def _say_once(peer: Peer, engine: str, what: str) -> None:
+    """Once for an engine, not once for a request."""
+    if what not in peer.said and len(peer.said) < SAID_MOST:
+        peer.said.add(what)
+        log.warning("%s: %s", engine, what)
--- a/lifthead/node/serve.py
+++ b/lifthead/node/serve.py
@@ -52,8 +52,10 @@
         host = Host(told, tasks)
         if told.known:
             host.on_news(told.known)
-        follower = Follower(told.discovery, told.known.version if told.known else 0, host.on_news)
+        version = told.known.version if told.known else 0
+        follower = Follower(told.discovery, version, host.on_news, told.deployment.seed)
         door = Clients(Bounds(told.clients), host.answer, clients.error, clients.FIRST_WITHIN)
+        host.shed = door.make_room
         listening = listener(told.listen)
         lasting = [
             tasks.create_task(follower.follow()),
--- a/lifthead/node/start.py
+++ b/lifthead/node/start.py
@@ -1,5 +1,6 @@
 """What a node is told: its configuration file to plain values, at the start and anew on SIGHUP."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -11,7 +12,9 @@
 from lifthead.terms import Fields, MalformedError, deployment_of, flat, whole
 
 OWN = 24  # descriptors for the program itself: its listener, discovery, the loop, the standard streams
-CLIENTS = 0.55  # part of the others that clients' connections may hold; engines' have the rest
+# Part of the others that clients' connections may hold; engines' have the rest. Each client's open request
+# may need one of those, and probes and releases come besides: with half, clients could use up all.
+CLIENTS = 0.45
 
 
 class StartError(Exception):
@@ -59,13 +62,15 @@
     try:
         file = msgspec.json.decode(data, type=_File)
         env = flat(file.settings)
-        env["Nonce64"] = str(int(file.seed or "0", 16))
+        env["Nonce64"] = str(_of("seed", lambda text: int(text, 16), file.seed or "0"))
         deployment = deployment_of(env)
-        listen, discovery = address_of(file.listen), address_of(file.discovery)
-        known = news_of(bytes(file.known)) if file.known else None
-    except (msgspec.DecodeError, UnicodeDecodeError, ValueError, MalformedError, StrangeNewsError) as problem:
+        listen = _of("listen", address_of, file.listen)
+        discovery = _of("discovery", address_of, file.discovery)
+        known = _of("known", news_of, bytes(file.known)) if file.known else None
+        sockets = _of("limits.sockets", int, file.limits.get("sockets", 1024))
+    except (msgspec.DecodeError, UnicodeDecodeError, MalformedError) as problem:
         raise StartError(str(problem)) from None
-    free = max(int(file.limits.get("sockets", 1024)) - OWN, 2)
+    free = max(sockets - OWN, 2)
     clients = int(free * CLIENTS)
     return Start(
         name=file.name,
@@ -81,5 +86,13 @@
     )
 
 
+def _of(name: str, read: Callable[[Any], Any], told: Any) -> Any:
+    """A field's meaning; StartError that names the field if it has none."""
+    try:
+        return read(told)
+    except (ValueError, OverflowError, StrangeNewsError) as problem:
+        raise StartError(f"{name}: {problem}") from None
+
+
 def _limit(env: Fields, name: str, usual: int) -> int:
     return whole(env, f"PolicyLimits.{name}", usual) or usual
--- a/lifthead/terms.py
+++ b/lifthead/terms.py
@@ -4,6 +4,8 @@
 as the same pairs first. Standard library alone. It translates and nothing else.
 """
 
+import contextlib
+import math
 from typing import Any
 
 from lifthead.interface import Deployment, Effect, EndpointGroup, Tenant
@@ -35,10 +37,10 @@
 
 def real(fields: Fields, key: str, default: float) -> float:
     text = fields.get(key)
-    try:
-        return default if text is None else float(text)
-    except ValueError:
-        raise MalformedError(f"{key}={text[:40]} is not a number") from None
+    with contextlib.suppress(ValueError):
+        if math.isfinite(value := default if text is None else float(text)):
+            return value
+    raise MalformedError(f"{key}={text[:40]} is not a number")
 
 
 def flag(fields: Fields, key: str) -> bool:
@@ -112,6 +114,8 @@
     at = "FamilyInfo.RoleByKind"
     kinds, roles = listed("Flavors"), listed(at)
     memory = listed("FamilyInfo.KvTokens")
+    if not kinds:
+        raise MalformedError("Flavors is missing")
     if len(roles) != len(kinds):
         raise MalformedError(f"{at} names {len(roles)} roles for {len(kinds)} Flavors")
     return Deployment(
--- /dev/null
+++ b/tests/program.py
@@ -0,0 +1,91 @@
+"""The node as a program, beside stand-ins of engines and of discovery in the test's own loop."""
+
+import asyncio
+import contextlib
+import json
+import os
+import resource
+import socket
+import subprocess
+import sys
+
+from onenode import Client, chunk, config, news
+
+READY = b"GET /ready HTTP/1.1\r\nhost: x\r\n\r\n"
+
+
+def free_address():
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{free.getsockname()[1]}"
+
+
+def started(path, listen, discovery, most=1024, cores=(), **more):
+    """A process of its own, with so many descriptors at most and on these cores only."""
+    told = config(listen=listen, discovery=discovery, limits={"sockets": most}, **more)
+    path.write_text(json.dumps(told))
+
+    def bound():
+        resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
+        if cores:
+            os.sched_setaffinity(0, cores)
+
+    return subprocess.Popen(
+        [sys.executable, "-B", "-m", "lifthead.node"],
+        env={**os.environ, "NODE_CONFIG": str(path)}, preexec_fn=bound, stderr=subprocess.DEVNULL,
+    )  # fmt: skip
+
+
+@contextlib.contextmanager
+def ending(*processes):
+    try:
+        yield
+    finally:
+        for process in processes:
+            process.kill()
+            process.wait()
+
+
+async def ready(listen, within):
+    """Seconds until it says that it is."""
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    async with asyncio.timeout(within):
+        while True:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                async with Client(listen) as client:
+                    await client.send(READY)
+                    if (await client.answer())[0] == 200:
+                        return loop.time() - began
+            await asyncio.sleep(0.05)
+
+
+class Discovery:
+    """One list for all; `down` resets what is open and refuses what comes."""
+
+    def __init__(self):
+        self.address, self.targets, self.rev, self.open = free_address(), [], 0, set()
+        self.server = None
+
+    async def up(self, *targets):
+        self.targets, self.rev = targets, self.rev + 1
+        host, _, port = self.address.rpartition(":")
+        self.server = await asyncio.start_server(self.serve, host, int(port), backlog=512)
+
+    def down(self):
+        self.server.close()
+        for writer in self.open:
+            writer.transport.abort()
+
+    async def serve(self, reader, writer):
+        self.open.add(writer)
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+            writer.write(chunk(news(*self.targets, rev=self.rev) + b"\n"))
+            while not reader.at_eof() and not writer.transport.is_closing():
+                writer.write(chunk(b"\n"))
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(reader.read(100), 1.0)
+        self.open.discard(writer)
+        writer.close()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -755,7 +755,7 @@
         return before, now
 
     before, now = played(play, wr=Engine())
-    assert before[0] == ("127.0.0.1", 1) and now == (("127.0.0.1", 2), 110, 90)
+    assert before[0] == ("127.0.0.1", 1) and now == (("127.0.0.1", 2), 90, 110)
 
 
 def test_the_program_serves_reads_its_configuration_anew_and_stops_without_losing_a_req(tmp_path):
