--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -67,8 +67,7 @@
 COLD_MEMORY = 64  # engines times windows after which older ones count half
 
 # Labels of wake-ups: a req's own is its id, shifted.
-TURN_OF_WINDOW = 1
-LOOK_ROUND = 2
+TURN_OF_WINDOW, LOOK_ROUND = 1, 2
 
 
 def rank(key: str, engine: str) -> bytes:
@@ -225,7 +224,11 @@
         group = self.groups[demand.group]
         target = group.target_of(demand.prompt)
         wanted_in = min(target, demand.budget)  # what a client won't wait for is not begun
-        req = Req(demand, group, group.effect, demand.prompt, now + demand.budget, target, wanted_in)
+        # Exception, a short beginning: the key is the session, whose own text is most of what is to be found
+        # again. Covers a few beginnings that all share: their readers drowned under text that none had.
+        own = 0 < 2 * demand.beginning_len < demand.prompt and demand.session
+        key = own or demand.beginning or demand.session
+        req = Req(demand, group, group.effect, demand.prompt, now + demand.budget, key, target, wanted_in)
         req.over_share = self._over_share(demand.tenant, now)
         if demand.ran:  # the rest of a stream that broke: rule 2 counts what ran, and it goes elsewhere
             req.may_have_run = self.engines.get(demand.ran)
@@ -380,7 +383,6 @@
     def _reader(self, req: Req, home: str) -> Engine | None:
         """The reader that the key hashes to: the home zone's come first, each zone's in rendezvous order."""
         unfit = self._unfit(req, True)
-        demand = req.demand
 
         def cost(engine: Engine) -> int:
             return self._backlog(engine) + ANEW * self._unread(engine, req)
@@ -389,7 +391,7 @@
         # there and what it would have to read of this prompt is clearly more than elsewhere. Also covers a
         # zone that gets too much to read. The unread part weighs more than the wait: readers that pass
         # prompts on for their queues' sake lose each other's texts until nothing is kept anywhere.
-        keep = self.keepers.of(demand.beginning, demand.session)
+        keep = self.keepers.of(req.demand.beginning, req.demand.session)
         keep = [e for e in keep if e.ready and e.role == "read" and e not in unfit]
         least, asked_all = min([ANEW * req.prompt, *map(cost, keep)]), False  # none costs less than this
         for zone in (home, None):
@@ -497,8 +499,7 @@
         if tenant not in self.share:
             return False
         left, then = self.within[tenant]
-        most = 2 * self.window * self.share[tenant] + SHARE_BURST
-        left = min(left + (now - then) * self.share[tenant], most)
+        left = min(left + (now - then) * (by := self.share[tenant]), 2 * self.window * by + SHARE_BURST)
         self.within[tenant] = (max(left - 1, 0.0), now)
         return left < 1
 
@@ -641,8 +642,7 @@
 
     def _unread(self, engine: Engine, req: Req) -> int:
         """Prompt tokens that the engine is expected to have to read: those past the text that it keeps."""
-        known = max(engine.kept.get(req.demand.session, 0), engine.kept.get(req.demand.beginning, 0))
-        return max(req.prompt - known, 1)
+        return max(req.prompt - engine.kept_of(req.demand.session, req.demand.beginning), 1)
 
     def _keeps(self, engine: Engine, req: Req, unread: int, found: int) -> None:
         """Notes what an engine has read. One that found much less than expected has lost its texts (a flush,
--- a/lifthead/state.py
+++ b/lifthead/state.py
@@ -92,6 +92,10 @@
     away: bool = False  # it could not be reached, or was silent, since its last first answer
     trial_at: int = 0  # while suspect: when the next trial may go
 
+    def kept_of(self, *keys: str) -> int:
+        """Tokens of the longest text that it keeps of these."""
+        return max(self.kept.get(key, 0) for key in keys)
+
 
 class Pool:
     """Engines that are drawn from by weight, with the sums that make a draw cheap however many there are."""
@@ -133,6 +137,7 @@
     effect: Effect
     prompt: int
     due_at: int  # when the client gives up
+    key: str  # what its reader is chosen by
     target: int  # response target of a prompt this long
     wanted_in: int  # the target, or less where the client gives up sooner
     over_share: bool = False  # beyond its tenant's share
@@ -147,7 +152,3 @@
     tried: set[str] = field(default_factory=set)
     unreached: list[str] = field(default_factory=list)  # zones of engines to which no connection was made
 
-    @property
-    def key(self) -> str:
-        """What its reader is chosen by: the shared beginning, else the session."""
-        return self.demand.beginning or self.demand.session
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -58,9 +58,12 @@
     def calls(self, name):
         return [call for call in self.did if call[0] == name]
 
-    def req(self, prompt=5000, group="chat", beginning="p", session="s", budget=8_000_000, tenant="t"):
+    def req(
+        self, prompt=5000, group="chat", beginning="p", session="s", budget=8_000_000, tenant="t", shared=0
+    ):
+        """`shared`: tokens of the beginning, 0 if not told."""
         req_id, self.next_id = self.next_id, self.next_id + 1
-        demand = Demand(req_id, group, tenant, budget, prompt, 100, session, beginning, 0, 0, False)
+        demand = Demand(req_id, group, tenant, budget, prompt, 100, session, beginning, shared, 0, False)
         self.router.on_req(demand)
         return req_id
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -39,6 +39,17 @@
     assert bench.sent[bench.serve(beginning=beginning, session=session)][0] == first
 
 
+@pytest.mark.parametrize(
+    ("beginning", "shared", "session", "readers"),
+    [("p", 500, "s", 6), ("p", 3000, "s", 1), ("p", 0, "s", 1), ("p", 500, "", 1), ("", 0, "s", 6)],
+)
+def test_the_key_is_what_most_of_the_prompt_is(beginning, shared, session, readers):
+    """All share one short beginning: with it as the key, one reader got all their own texts to read."""
+    bench = Bench(*(entry(f"R{n}") for n in range(6)), entry("W1"))
+    reqs = [bench.serve(beginning=beginning, shared=shared, session=session and f"s{n}") for n in range(60)]
+    assert len({bench.sent[req][0] for req in reqs}) == readers
+
+
 def test_the_writer_is_drawn_after_the_read_from_the_readers_zone():
     bench = Bench(*TWO_ZONES)
     for number in range(40):
