The decode engine of the prefill engine's cell is drawn by weight, as in the zone

Ruled out: the hint of 64 against 4 being too much; with it decode engines take 300 each at p90 150 to 220 ms.

--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -530,7 +530,7 @@
             cell = self.between_cells[zone].place(cell, self.chance.random())
         in_cell = cells.get((zone, cell), ()) if cells else pool.engines
         in_cell = [e for e in in_cell if e.cell == cell and fit(e)]
-        kept = self.chance.choice(in_cell) if in_cell else self._pick(pool, fit) or other
+        kept = self._pick(Pool(in_cell), fit) or self._pick(pool, fit) or other
         return other if self._load(kept) > HEAVIER * self._load(other) + HEAVIER_BY else kept
 
     def _some(self, engines: list[Engine]) -> list[Engine]:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -68,6 +68,14 @@
     assert carried[0] > carried[1] > 0
 
 
+def test_the_cells_writer_is_drawn_by_weight():
+    """A mixed engine beside a decode engine of many times its size got as much as that, and drowned."""
+    large = [replace(entry(f"W{n}"), weight=16.0) for n in range(2)]
+    bench = Bench(entry("R1"), *large, entry("B1"))
+    wrote = [bench.sent[bench.serve(session=f"s{n}", beginning="")][-1] for n in range(200)]
+    assert 0 < wrote.count("B1") < 25
+
+
 # Exceptions to it.
 
 
