Readers are asked for their load before one is chosen, where they tell it only when asked

Cause: `_reader` had nothing to compare. What `_ask_near` asked along, five of a hundred at random, seldom told of the readers of the next key; `_learn` and `_reader_beyond` made up for it by estimates of what nobody told. Ruled out: reuse (of 8.1 million tokens read 1.5 were a beginning kept elsewhere, 0.55 a session's); writers (0 of 100).

Now the first two of the key's order and one of another zone are asked, for 20 ms at most; the least loaded takes it, the others counting what the key's own may keep, another zone a threshold more. Writers alone are asked along with an attempt.

--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -50,6 +50,8 @@
 BARRED_FOR = 8_000_000  # an engine that turned a req away gets none of its endpoint group for so long
 FRESH = 4_000_000  # age to which a load report is believed
 PROBE_EVERY = 300_000  # where reports come on probes alone, an engine is asked so often at most
+ASKED = 2  # readers of a req's zone that are asked before one is chosen ...
+ASK_FOR = 20_000  # ... and how long their answers are waited for
 PROBES = 4  # others of its zone that are asked along with each engine that a req goes to
 LOOK_EVERY = 100_000  # how often silent engines are looked for
 NEVER = 1 << 62
@@ -67,7 +69,7 @@
 COLD_MEMORY = 64  # engines times windows after which older ones count half
 
 # Labels of wake-ups: a req's own is its id, shifted.
-TURN_OF_WINDOW, LOOK_ROUND = 1, 2
+TURN_OF_WINDOW, LOOK_ROUND, ASKED_LONG = 1, 2, 3
 
 
 def rank(key: str, engine: str) -> bytes:
@@ -104,13 +106,9 @@
         self.chance = random.Random(deployment.seed)
         self.zone = deployment.zone
         self.tick = max(deployment.tick, 1)
-        self.groups = deployment.groups
-        self.roles = deployment.roles
-        self.memory = deployment.memory
-        self.writers_read = deployment.writers_read
-        self.max_forwards = deployment.max_forwards
-        self.let_go_by = deployment.let_go_by
-        self.may_cancel = deployment.may_cancel
+        self.groups, self.roles, self.memory = deployment.groups, deployment.roles, deployment.memory
+        self.writers_read, self.max_forwards = deployment.writers_read, deployment.max_forwards
+        self.let_go_by, self.may_cancel = deployment.let_go_by, deployment.may_cancel
         self.probes = deployment.reports_on_probe and deployment.may_probe
         self.hold_off = deployment.max_hold_off if deployment.may_hold_off else 0
         self.window = max(deployment.overload_for, 1)
@@ -146,6 +144,7 @@
         self.warm = dict.fromkeys(self.finished, 0.0)  # in so many windows of one warm engine
         host.wake(self.window, TURN_OF_WINDOW)
         host.wake(LOOK_EVERY, LOOK_ROUND)
+        self.asking: dict[int, Req] = {}  # which wait for word of readers
         self.unsettled, self.ask_again = True, False
         if deployment.must_ask:
             host.watch_engines()
@@ -189,9 +188,8 @@
 
     def _even_out(self) -> None:
         """Exception, uneven cells and zones: few writers can't write all that many readers read, nor few
-        engines all that comes in. Own tokens show nothing of this when many routers each send a little, so
-        the list tells it: each place keeps what it can take, and the rest goes where there is more than
-        needed. Also covers lost engines. May hurt where clients are spread over the zones as engines are."""
+        engines all that comes in. Own tokens show nothing of this when many routers send little each, so the
+        list tells it: each place keeps what it can take, the rest goes where there is more than needed."""
         zones = {engine.zone for engine in self.readers + self.writers} | {self.zone}
         even = dict.fromkeys(sorted(zones), 1 / len(zones))
         reads, writes = self._parts(self.readers, "zone"), self._parts(self.writers, "zone")
@@ -252,6 +250,8 @@
                 if writer and not (self.readers and self._crowded(writer, req)):
                     return self._forward(req, writer, "read there")
             home = self._home(req, self.reads_here)
+            if self.probes and req.near is None and self._ask_first(req, home):
+                return None
             reader = self._reader(req, home)
             wait = self._wait(reader, req, "read") if reader else NEVER
             if wait > DROWNED * req.wanted_in:
@@ -260,12 +260,7 @@
                 writer = self._stand_in(req, home)
                 if writer and self._wait(writer, req, "read there") < wait:
                     return self._forward(req, writer, "read there")
-                # Exception, a drowned zone: clients come unevenly, and the list tells nothing of them. What
-                # drowns here is read in another zone where less than a long prompt waits at a reader.
-                other = self._reader_beyond(req, home)
-                if other:
-                    home, reader, wait = other.zone, other, self._wait(other, req, "read")
-            if reader is None or self._hopeless(req, home, reader, wait):
+            if reader is None or self._hopeless(req, reader, wait):
                 return self._give_up(req)
             return self._forward(req, reader, "read")
         zone = self.between_zones.place(req.held_at.zone, self.chance.random())
@@ -292,8 +287,8 @@
         expected = req is not None and req.out is not None and req.out.number == number
         if expected:
             forward, req.out = req.out, None
-            if self.probes and forward.reading and ending in (Ending.READ, Ending.CANCELLED):
-                self._learn(forward, took, max(req.prompt - note, 1) if ending is Ending.READ else 0)
+            if self.probes and ending is Ending.READ:
+                self._learn(forward, max(req.prompt - note, 1))
             if not forward.begun and ending in (Ending.READ, Ending.DONE):
                 self._first_answer(forward, took)
             forward.engine.tokens -= forward.tokens
@@ -361,6 +356,8 @@
             self._turn_of_window()
         elif label == LOOK_ROUND:
             self._look_round()
+        elif label & ASKED_LONG == ASKED_LONG:
+            self._asked(label >> 2)
         elif (req := self.reqs.get(label >> 2)) and not req.answered and not req.began:
             self.host.abort(req.demand.id)
             self._let_go(req)
@@ -372,6 +369,10 @@
         elif engine and not engine.out:  # busy with others, or gone: without a fresh word it looks idle
             engine.barred[ANY] = self.host.now() + FRESH
             self.watched[engine] = None
+        for req_id, req in list(self.asking.items()):
+            req.awaits.discard(name)
+            if not req.awaits:
+                self._asked(req_id)
 
     # Choosing an engine.
 
@@ -383,14 +384,19 @@
     def _reader(self, req: Req, home: str) -> Engine | None:
         """The reader that the key hashes to: the home zone's come first, each zone's in rendezvous order."""
         unfit = self._unfit(req, True)
+        near = [e for e in req.near or () if e.ready and e not in unfit and self._word(e)]
+        if near:  # of those that were asked: what the key's own may keep counts against the others
+            kept = req.demand.beginning_len * (req.key == req.demand.beginning) + LOCAL_UNREAD
+            far = {e: (e is not req.near[0]) * kept + (e.zone != home) * THRESHOLD for e in near}
+            req.near = []
+            return min(near, key=lambda e: self._backlog(e) + far[e])
 
         def cost(engine: Engine) -> int:
             return self._backlog(engine) + ANEW * self._unread(engine, req)
 
         # Exception, a hot beginning: a reader is passed over for the next in the key's order when what waits
-        # there and what it would have to read of this prompt is clearly more than elsewhere. Also covers a
-        # zone that gets too much to read. The unread part weighs more than the wait: readers that pass
-        # prompts on for their queues' sake lose each other's texts until nothing is kept anywhere.
+        # there and what it would have to read of this prompt is clearly more than elsewhere. Unread text
+        # weighs more than waits: readers that pass prompts on lose each other's texts until none is kept.
         keep = self.keepers.of(req.demand.beginning, req.demand.session)
         keep = [e for e in keep if e.ready and e.role == "read" and e not in unfit]
         least, asked_all = min([ANEW * req.prompt, *map(cost, keep)]), False  # none costs less than this
@@ -405,18 +411,25 @@
                     return engine
         return None
 
-    def _reader_beyond(self, req: Req, home: str) -> Engine | None:
-        """The key's reader of another zone that is idle, or the next there. Texts are read anew there, so of
-        two drowned zones neither helps the other. One that told nothing is asked before it gets anything."""
-        unfit, told = self._unfit(req, True), self.unseen["read"]
-        for zone in sorted(self.readers_in, key=lambda zone: told.get(zone, 0.0)) if self.probes else ():
-            order = self._order(req.key, zone) if zone != home else []
-            for reader in order[:FEW] if told.get(zone, NEVER) <= THRESHOLD else ():
-                if reader not in unfit and self._backlog(reader) <= THRESHOLD:
-                    return reader
-            for reader in order[:1]:
-                self._ask_near(reader)  # nothing else tells that a jam there is over
-        return None
+    def _ask_first(self, req: Req, home: str) -> bool:
+        """Exception, engines that tell their load only when asked: a router that sends little knows nothing
+        of most. The first of the key's order are asked, and one of another zone. True: wait for it."""
+        unfit, now = self._unfit(req, True), self.host.now()
+        fit = [e for zone in (home, None) for e in self._order(req.key, zone)[:FEW] if e not in unfit]
+        req.near = [e for e in fit if e.zone == home][:ASKED] + [e for e in fit if e.zone != home][:1]
+        late = [engine for engine in req.near if now - engine.report_at >= PROBE_EVERY]
+        for reader in late:
+            reader.probed_at, self.asking[req.demand.id] = now, req
+            self.host.probe(reader.name)
+            req.awaits.add(reader.name)
+        if late:
+            self.host.wake(ASK_FOR, req.demand.id << 2 | ASKED_LONG)
+        return bool(late)
+
+    def _asked(self, req_id: int) -> None:
+        req = self.asking.pop(req_id, None)
+        if req and not req.answered:
+            self._route(req)
 
     def _order(self, key: str, zone: str | None) -> list[Engine]:
         """A zone's readers, or all, in the key's rendezvous order; remembered for the latest keys."""
@@ -461,35 +474,22 @@
         """What is to be read until so many more are. Texts read for others' reqs are kept as lately."""
         return int((self._backlog(engine) + unread) * (self._still_unread() if work == "read" else 1.0))
 
-    def _learn(self, forward: Forward, took: int, read: int) -> None:
-        """A reader has read so many tokens of those that it was taken to have unread, or was called off (0).
-        What its pace does not explain had waited there unseen: others' reqs."""
-        part, pace = self._still_unread(), self.pace["read"]
-        if read:
-            forward.backlog += read - int(forward.unread * part)
-            fade = 0.5 if self.taken_unread > READ_MEMORY else 1.0
-            self.taken_unread = fade * (self.taken_unread + forward.unread)
-            self.proved_unread = fade * (self.proved_unread + read)
-        if not forward.told and pace.total >= ENOUGH:
-            more = took * 1000 / max(pace.quantile(0.5), 1) - OVERHEAD - forward.backlog
-            before = self.unseen["read"].get(forward.engine.zone, 0.0)
-            self._seems_unseen(forward.engine, max(before + more / part, 0.0))
-
-    def _seems_unseen(self, engine: Engine, tokens: float) -> None:
-        known = self.unseen[engine.role]
-        before = known.get(engine.zone, tokens)
-        known[engine.zone] = before + (tokens - before) / ENOUGH
+    def _learn(self, forward: Forward, read: int) -> None:
+        """A reader has read so many tokens of those that it was taken to have unread."""
+        forward.backlog += read - int(forward.unread * self._still_unread())
+        fade = 0.5 if self.taken_unread > READ_MEMORY else 1.0
+        self.taken_unread = fade * (self.taken_unread + forward.unread)
+        self.proved_unread = fade * (self.proved_unread + read)
 
     def _still_unread(self) -> float:
         return min(self.proved_unread / self.taken_unread, 1.0)
 
-    def _hopeless(self, req: Req, home: str, reader: Engine, wait: float) -> bool:
+    def _hopeless(self, req: Req, reader: Engine, wait: float) -> bool:
         """Whether the first token can't be expected in time: writers let go of memory as their streams end,
         a backlog goes at the usual pace. What would come too late is waste, and makes others late."""
         if wait > (most := HOPELESS * req.wanted_in * (OVER_SHARE if req.over_share else 1)):
-            self._ask_near(reader)  # where all is pushed back, nothing else tells that a jam is over
             return True
-        unfit, writers = self._unfit(req, False), self.writers_in.get(home, NOBODY).engines
+        unfit, writers = self._unfit(req, False), self.writers_in.get(reader.zone, NOBODY).engines
         writers = [e for e in self._some(writers) if e not in unfit]
         beyond = sum(map(self._pressure, writers)) / (len(writers) or 1) - 1
         return wait + max(beyond, 0) * self.streams.quantile(0.5) > most
@@ -637,7 +637,9 @@
         engine.report, engine.report_at = report, self.host.now()
         engine.barred.pop(ANY, None)
         if self.probes:
-            self._seems_unseen(engine, self._told(engine, report))
+            known, tokens = self.unseen[engine.role], self._told(engine, report)
+            before = known.get(engine.zone, tokens)
+            known[engine.zone] = before + (tokens - before) / ENOUGH
         engine.tokens_then, engine.unread_then = engine.tokens, engine.unread
 
     def _unread(self, engine: Engine, req: Req) -> int:
@@ -794,13 +796,11 @@
         self._ask_near(engine)
 
     def _ask_near(self, engine: Engine) -> None:
-        """Some engines of the zone are asked for later reqs: probes grow with reqs, not routers x engines."""
-        if self.probes:
-            readers, now = self.readers_in.get(engine.zone, []), self.host.now()
-            writers = self.writers_in.get(engine.zone, NOBODY).engines
-            drawn = self.chance.sample(range(n := len(readers) + len(writers)), min(n, PROBES + 1))
-            near = [(readers[at] if at < len(readers) else writers[at - len(readers)]) for at in drawn]
-            for asked in (engine, *[e for e in near if e is not engine][:PROBES]):
+        """Some writers of the zone are asked for later reqs: probes grow with reqs, not routers x engines."""
+        if self.probes and engine.role != "read":
+            writers, now = self.writers_in.get(engine.zone, NOBODY).engines, self.host.now()
+            drawn = self.chance.sample(writers, min(len(writers), PROBES + 1))
+            for asked in (engine, *[e for e in drawn if e is not engine][:PROBES]):
                 if now - asked.probed_at >= PROBE_EVERY:
                     asked.probed_at = now
                     self.host.probe(asked.name)
