Nobody is asked where the router itself knows who keeps most of a prompt

Cause: `_ask_first` chose by what waits and by what the key's own might keep; what this router has noted of texts (`keepers`) did not count, and with few routers each knows by itself where a session lies. Now nobody is asked where a reader is known to keep over half of the prompt; the choice is `_reader`'s, as before readers were asked.

--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -102,17 +102,15 @@
 
 class Router:
     def __init__(self, host: Host, deployment: Deployment) -> None:
-        self.host = host
+        self.host, self.zone = host, deployment.zone
         self.chance = random.Random(deployment.seed)
-        self.zone = deployment.zone
         self.tick = max(deployment.tick, 1)
         self.groups, self.roles, self.memory = deployment.groups, deployment.roles, deployment.memory
         self.writers_read, self.max_forwards = deployment.writers_read, deployment.max_forwards
         self.let_go_by, self.may_cancel = deployment.let_go_by, deployment.may_cancel
         self.probes = deployment.reports_on_probe and deployment.may_probe
         self.hold_off = deployment.max_hold_off if deployment.may_hold_off else 0
-        self.window = max(deployment.overload_for, 1)
-        self.warm_within = deployment.warm_within
+        self.window, self.warm_within = max(deployment.overload_for, 1), deployment.warm_within
         self.cold_least = min(COLD_LEAST / deployment.routers, 1.0)
         self.cold_part = deployment.cold_share * deployment.tip_multiple * COLD_PART
         even = SHARE_SLACK / 1_000_000 / deployment.routers  # shares are by the second and for all routers
@@ -415,6 +413,9 @@
         """Exception, engines that tell their load only when asked: a router that sends little knows nothing
         of most. The first of the key's order are asked, and one of another zone. True: wait for it."""
         unfit, now = self._unfit(req, True), self.host.now()
+        keep = self.keepers.of(req.demand.beginning, req.demand.session)
+        if any(e.ready and e.role == "read" and 2 * self._unread(e, req) < req.prompt for e in keep):
+            return False  # this router itself knows who keeps most of it
         fit = [e for zone in (home, None) for e in self._order(req.key, zone)[:FEW] if e not in unfit]
         req.near = [e for e in fit if e.zone == home][:ASKED] + [e for e in fit if e.zone != home][:1]
         late = [engine for engine in req.near if now - engine.report_at >= PROBE_EVERY]
@@ -427,8 +428,7 @@
         return bool(late)
 
     def _asked(self, req_id: int) -> None:
-        req = self.asking.pop(req_id, None)
-        if req and not req.answered:
+        if (req := self.asking.pop(req_id, None)) and not req.answered:
             self._route(req)
 
     def _order(self, key: str, zone: str | None) -> list[Engine]:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -766,6 +766,18 @@
     assert bench.sent[req] == [names[goes]]
 
 
+@pytest.mark.parametrize(("prompt", "asks"), [(7000, False), (16_000, True)])
+def test_nobody_is_asked_where_this_router_knows_who_keeps_most_of_it(prompt, asks):
+    """With few routers each knows by itself where a session's text lies, and left it for an idle reader."""
+    bench = Bench(*TWO_ZONES, **ASKED)
+    first = bench.sent[bench.serve(6000, session="s", beginning="")][0]
+    bench.clock += 2 * control.FRESH
+    bench.unanswered = False
+    req = bench.req(prompt, session="s", beginning="")
+    assert bool(bench.router.reqs[req].awaits) is asks
+    assert bench.sent.get(req, []) == ([] if asks else [first])
+
+
 def test_asking_is_not_waited_for_long_and_not_repeated():
     bench = Bench(*CELL, **ASKED)
     bench.unanswered = False
