Tests: one way to play a node, and one start of a cold fleet

Read once more: `played` stood in test_node and test_leaving and twice written out in test_descriptors; it is onenode's now (10 s for all; test_leaving had 15). Four cold tests began with the same three lines: `starting_cold`. No assertion changed and nothing but tests.

--- a/tests/onenode.py
+++ b/tests/onenode.py
@@ -149,6 +149,16 @@
         await self._group.__aexit__(None, None, None)
 
 
+def played(play, **how):
+    """What `play` gives back, of a node of its own with these engines and bounds."""
+
+    async def run():
+        async with Node(**how) as node:
+            return await asyncio.wait_for(play(node), 10)
+
+    return asyncio.run(run())
+
+
 def chat(prompt=100, group="ask", trace="a1", waits="2000", body=None, path=clients.PATH, **headers):
     """A client's message. A header given as None is left out."""
     if body is None:
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -91,9 +91,12 @@
         return mosts, sum(map(len, cold)) / (len(cold) * BUDGET * COLD)
 
 
-def start_cold(fleet, engines=1):
+def starting_cold(routers, uneven, seed, engines=1):
+    """A fleet that has had the usual load, so many of its engines start now, and when that is."""
+    fleet = Fleet(routers, uneven, seed)
+    fleet.play(BEFORE, 0.7)
     fleet.tell(*(entry(name, up_since=fleet.clock) for name in NAMES[:engines]))
-    return fleet.clock
+    return fleet, fleet.clock
 
 
 SIZES = pytest.mark.parametrize("routers", [2, 6, 20, 30, 200])
@@ -107,9 +110,7 @@
 @pytest.mark.parametrize("load", [0.7, 3.0])
 def test_all_routers_together_keep_to_a_cold_engines_budget(routers, uneven, seed, load):
     """At the usual load, and where far more comes than all engines can do."""
-    fleet = Fleet(routers, uneven, seed)
-    fleet.play(BEFORE, 0.7)
-    since = start_cold(fleet)
+    fleet, since = starting_cold(routers, uneven, seed)
     fleet.play(COLD, load)
     assert fleet.most_in_a_window(since)[0][0] <= BUDGET + CHANCE
 
@@ -119,9 +120,7 @@
 @SEEDS
 def test_what_was_left_unused_is_not_sent_at_once(routers, uneven, seed):
     """Next to nothing comes for some windows, then much, and no other engine is left for it."""
-    fleet = Fleet(routers, uneven, seed)
-    fleet.play(BEFORE, 0.7)
-    since = start_cold(fleet)
+    fleet, since = starting_cold(routers, uneven, seed)
     fleet.play(COLD - 2, 0.01)
     fleet.tell(*(entry(name, readiness="draining") for name in NAMES[1:]))
     fleet.play(2, 3.0)
@@ -133,9 +132,7 @@
 @SEEDS
 def test_routers_that_restart_during_the_ramp_keep_to_it_too(routers, uneven, seed):
     """A new process has measured little: what its few answers say of an engine must not be too much."""
-    fleet = Fleet(routers, uneven, seed)
-    fleet.play(BEFORE, 0.7)
-    since = start_cold(fleet)
+    fleet, since = starting_cold(routers, uneven, seed)
     for _ in range(COLD * 4):
         fleet.restart(0.15)
         fleet.play(0.25, 1.5)
@@ -147,9 +144,7 @@
 @SEEDS
 def test_a_fair_part_of_the_budget_is_used_where_nothing_else_is_there(routers, uneven, seed):
     """A zone returns cold: what its routers may send and do not is lost. Each engine keeps to its budget."""
-    fleet = Fleet(routers, uneven, seed)
-    fleet.play(BEFORE, 0.7)
-    since = start_cold(fleet, ENGINES)
+    fleet, since = starting_cold(routers, uneven, seed, ENGINES)
     fleet.play(COLD, 1.0)
     mosts, used = fleet.most_in_a_window(since)
     assert used > 0.35 and max(mosts) <= BUDGET + CHANCE
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 import pytest
-from onenode import END, EVENT, HEAD, STREAM, Client, Engine, Node, chat, chunk, config, target
+from onenode import END, EVENT, HEAD, STREAM, Client, Engine, chat, chunk, config, played, target
 from program import READY, Discovery, ending, free_address, ready, started
 
 from lifthead.node import start
@@ -100,11 +100,7 @@
             first, second = node.door.make_room(), node.door.make_room()
             return first, second, await idle.closed(0.5), (await busy.answer())[0]
 
-    async def run():
-        async with Node(wr=Engine()) as node:
-            return await asyncio.wait_for(play(node), 10)
-
-    assert asyncio.run(run()) == (True, False, True, 200)
+    assert played(play, wr=Engine()) == (True, False, True, 200)
 
 
 def test_what_had_come_on_a_resting_connection_by_the_stop_is_answered_and_nothing_is_read_later():
@@ -122,9 +118,5 @@
             closed = await late.closed(0.5)
             return (await early.answer())[:1], closed, len(wr.came)
 
-    async def run():
-        async with Node(wr=wr) as node:
-            return await asyncio.wait_for(play(node), 10)
-
     wr = Engine()
-    assert asyncio.run(run()) == ((200,), True, 1)
+    assert played(play, wr=wr) == ((200,), True, 1)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -6,19 +6,11 @@
 import time
 
 import pytest
-from onenode import HANG, HAS_READ, STREAM, TURNED_AWAY, Client, Engine, Node, chat
+from onenode import HANG, HAS_READ, STREAM, TURNED_AWAY, Client, Engine, chat, played
 
 from lifthead.engines.link import Link
 
 
-def played(play, **how):
-    async def run():
-        async with Node(**how) as node:
-            return await asyncio.wait_for(play(node), 15)
-
-    return asyncio.run(run())
-
-
 def close(client):
     client.writer.close()
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -22,12 +22,12 @@
     TURNED_AWAY,
     Client,
     Engine,
-    Node,
     ask,
     chat,
     chunk,
     config,
     news,
+    played,
     target,
 )  # fmt: skip
 
@@ -494,14 +494,6 @@
 # The host.
 
 
-def played(play, **how):
-    async def run():
-        async with Node(**how) as node:
-            return await asyncio.wait_for(play(node), 10)
-
-    return asyncio.run(run())
-
-
 def test_a_short_prompt_is_read_where_it_is_written_and_its_stream_passes_unchanged():
     wr, rd = Engine(), Engine([HAS_READ])
     status, _, body, whole = played(lambda node: ask(node.address, chat(100, trace="t1")), wr=wr, rd=rd)
