Held states are leases: released in time while no call has arrived; silent calls are given up

A call whose bytes never reach a running engine left its state held until the client's deadline: rule 5. Class: what was sent is taken for what has arrived.

--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -15,6 +15,7 @@
 from math import ceil
 
 from lifthead.interface import Demand, Deployment, Effect, Ending, EngineEntry, Host, LoadReport
+from lifthead.leases import Lease, retry_after
 from lifthead.state import Engine, Forward, Histogram, Keepers, Pool, Req
 
 # The split (docs/design.md, "The threshold").
@@ -44,6 +45,7 @@
 ENOUGH = 6  # measurements before a histogram is believed
 READ_MEMORY = 4 * ENOUGH * THRESHOLD  # tokens of reads after which older ones count half
 FORGET = 16  # windows after which paces count half
+OVERDUE = 2.0  # a decode call is overdue after this many times what nine in ten such calls take
 PATIENCE = 5.0  # an engine may be silent for this many times what nine in ten such forwards take
 TRIAL_AFTER = 1_000_000  # a suspect's first trial; twice as long after each further strike
 TRIAL_LIMIT = 8_000_000
@@ -70,6 +72,7 @@
 
 # Labels of wake-ups: a req's own is its id, shifted.
 TURN_OF_WINDOW, LOOK_ROUND, ASKED_LONG = 1, 2, 3
+LEASE = 2  # with a request's shifted id
 
 
 def rank(key: str, engine: str) -> bytes:
@@ -240,12 +243,16 @@
         self._settle()
         if req.forwards >= self.max_forwards or now + self.tick >= req.due_at:
             return self._give_up(req)
-        if req.held_at is None:
-            if req.prompt < THRESHOLD or not self.readers:
+        if req.lease and req.lease.allowed and now >= req.lease.too_late_at:
+            self._release(req)
+        if req.lease is None:
+            # Exception, a last attempt: after a prefill nobody could be asked to decode.
+            last = req.forwards > 0 and req.forwards + 1 == self.max_forwards
+            if req.prompt < THRESHOLD or not self.readers or last:
                 writer = self._draw(req, self._home(req, self.writes_here), None, reads=True)
                 # Exception, a burst: a writer that has enough to read leaves the prompt to the reader of its
                 # key, so that short reads do not pile up before running streams. Also covers a flush.
-                if writer and not (self.readers and self._crowded(writer, req)):
+                if writer and (last or not (self.readers and self._crowded(writer, req))):
                     return self._forward(req, writer, "read there")
             home = self._home(req, self.reads_here)
             if self.probes and req.near is None and self._ask_first(req, home):
@@ -261,8 +268,9 @@
             if reader is None or self._hopeless(req, reader, wait):
                 return self._give_up(req)
             return self._forward(req, reader, "read")
-        zone = self.between_zones.place(req.held_at.zone, self.chance.random())
-        writer = self._draw(req, zone, req.held_at.cell, reads=False)
+        holder = req.lease.holder
+        zone = self.between_zones.place(holder.zone, self.chance.random())
+        writer = self._draw(req, zone, holder.cell, reads=False)
         return self._forward(req, writer, "fetch") if writer else self._give_up(req)
 
     def on_begun(self, req_id: int, number: int, took: int, streamed: bool = True) -> None:
@@ -270,7 +278,7 @@
         a client who wants it whole keeps its deadline, and may be begun anew."""
         req = self.reqs.get(req_id)
         if req and req.out and req.out.number == number:
-            req.began, req.held_at = streamed, None
+            req.began, req.lease = streamed, None
             self._first_answer(req.out, took)
 
     def on_ended(
@@ -313,21 +321,21 @@
             del self.reqs[req_id]
             return
         never_up = ending in (Ending.UNREACHABLE, Ending.NOT_SENT)
-        if not never_up:
-            req.held_since = now
-        elif req.held_at and self.let_go_by and now + took > req.held_since + self.let_go_by:
-            # Rule 5: nobody fetches while connections don't come up, and the next may take as long as this.
-            self.host.free_state(req_id)
-            req.held_at = None
         if ending is Ending.READ:
-            req.held_at = forward.engine
+            self._lease(req, forward.engine)
             req.tried &= {req.demand.ran}
             return self._route(req)
+        if req.lease and ending in (Ending.BUSY, Ending.ERROR):
+            req.lease.since = now  # only an answer proves that the call had arrived
+        elif req.lease and never_up and not req.lease.outlives(now, took):
+            # Rule 5: nobody fetches while connections don't come up, and the next may take as long as this.
+            self._release(req)
         req.tried.add(name)
         if ending is Ending.UNREACHABLE:
             req.unreached.append(forward.engine.zone)
         if ending is Ending.BUSY and note == 1:
-            req.held_at = None  # the state is gone: read anew if there is time
+            req.lease = None  # the state is gone: read anew if there is time
+            req.tried.discard(name)  # which says nothing against this engine
         elif ending is Ending.BUSY:
             # Left alone for a while, so that not every req finds out anew. Covers full, throttling engines.
             forward.engine.barred[req.demand.group] = now + BARRED_FOR
@@ -356,6 +364,8 @@
             self._look_round()
         elif label & ASKED_LONG == ASKED_LONG:
             self._asked(label >> 2)
+        elif label & ASKED_LONG == LEASE:
+            self._on_lease(label >> 2)
         elif (req := self.reqs.get(label >> 2)) and not req.answered and not req.began:
             self.host.abort(req.demand.id)
             self._let_go(req)
@@ -372,6 +382,60 @@
             if not req.awaits:
                 self._asked(req_id)
 
+    # Held states.
+
+    def _lease(self, req: Req, holder: Engine) -> None:
+        """A state waits for the request from now on."""
+        req.lease = Lease(holder, self.host.now(), self.let_go_by)
+        if self.let_go_by:
+            self._look_at_lease(req, req.lease.release_at)
+
+    def _look_at_lease(self, req: Req, at: int) -> None:
+        self.host.wake(at - self.host.now(), req.demand.id << 2 | LEASE)
+
+    def _on_lease(self, req_id: int) -> None:
+        """A decode call that has brought nothing may never have arrived. It is given up for another engine
+        where its class allows it and such calls are usually quicker; at the end of the lease the state is
+        released, which takes nothing from a call that did arrive."""
+        req, now = self.reqs.get(req_id), self.host.now()
+        if req is None or req.answered or req.began:
+            return
+        if req.lease and now >= req.lease.release_at:
+            self._release(req)
+        elif req.lease:
+            self._look_at_lease(req, req.lease.release_at)
+        if req.out and not req.out.written_off and now >= req.out.overdue_at:
+            self._give_up_call(req, req.out, now)
+
+    def _give_up_call(self, req: Req, call: Forward, now: int) -> None:
+        """A call that may run only once stays out, as it may have arrived; so does one that no other engine
+        could take."""
+        self._strike(call.engine, now)
+        call.written_off = True
+        unfit = self._unfit(req, False)
+        elsewhere = any(e is not call.engine and e not in unfit for e in self.writers)
+        if call.may_repeat and self.may_cancel and elsewhere:
+            req.moved_at = call.sent_at
+            self.host.cancel(req.demand.id, call.number)
+
+    def _release(self, req: Req) -> None:
+        """Lets go of the state: whoever needs it later has the prompt read anew."""
+        self.host.free_state(req.demand.id)
+        req.lease = None
+
+    def _overdue_at(self, req: Req, call: Forward) -> int:
+        """When a decode call has taken longer than such calls do. A request's last attempt is waited for. One
+        that has given up a call before hurries, so that a third engine can still fetch the state."""
+        least, pace = retry_after(self.let_go_by), self.pace["fetch"]
+        if not least or req.forwards + 1 >= self.max_forwards:
+            return NEVER
+        measured = pace.total >= ENOUGH
+        usual = pace.quantile(0.9) * (call.backlog + OVERHEAD) / 1000 if measured else 0
+        overdue_at = call.sent_at + max(int(OVERDUE * usual), least)
+        if req.lease and req.moved_at and call.sent_at + least // 2 <= req.lease.last_call_at:
+            return min(overdue_at, req.lease.last_call_at)
+        return overdue_at + (least if req.moved_at and not measured else 0)
+
     # Choosing an engine.
 
     def _home(self, req: Req, split: Split) -> str:
@@ -572,7 +636,11 @@
         # has few forwards. Only that req: if all left the zone, one lost rack would drown the others.
         lost = {zone for zone in req.unreached if req.unreached.count(zone) > 1}
         left = {e for e in engines if e.zone in lost} if lost else set()
-        for more in (left, barred):
+        # A request that gave up a silent call goes to engines that are not suspect, and that have been heard
+        # of since that call was sent, while there are any.
+        moved_at = 0 if reading else req.moved_at
+        unheard = {e for e in engines if e.heard_at < moved_at} if moved_at else set()
+        for more in (left, barred, ill - unfit if moved_at else set(), unheard):
             unfit = unfit | more if len(unfit | more) < len(engines) else unfit
         return unfit
 
@@ -784,6 +852,10 @@
             req.demand.id, req.forwards, engine, now, tokens, unread, backlog, work == "read", may_repeat,
             req.target, told=self._word(engine) is not None,
         )  # fmt: skip
+        if work == "fetch":
+            forward.overdue_at = self._overdue_at(req, forward)
+            if forward.overdue_at < req.due_at:
+                self._look_at_lease(req, forward.overdue_at)
         engine.tokens += tokens
         (self.sizes if tokens else self.reads).add(tokens or unread)
         engine.unread += unread
--- a/lifthead/engines/codec.py
+++ b/lifthead/engines/codec.py
@@ -52,6 +52,8 @@
     Sight.STALLED: (Ending.BROKEN, 0),
 }
 
+PROVEN_NOT_RUN = frozenset((Sight.NO_CONNECTION, Sight.STALE, Sight.TURNED_AWAY, Sight.STATE_GONE))
+
 _encode = msgspec.json.Encoder().encode
 _READ_ELSEWHERE = {
     "do_remote_decode": True,
--- a/lifthead/engines/link.py
+++ b/lifthead/engines/link.py
@@ -1,7 +1,6 @@
 """Connections to engines, kept for the next forward where that is harmless. Decides nothing."""
 
 import asyncio
-import contextlib
 from collections import deque
 
 from lifthead import http1, peek
@@ -107,6 +106,22 @@
                 raise HttpError(502, "an engine's answer is too large")
         return b"".join(parts)
 
+    async def ask(self, data: bytes) -> tuple[Message, bytes]:
+        """Sends a short question and returns its whole answer."""
+        await self.send(data)
+        head = await self.head()
+        return head, await self.rest()
+
+    async def answers(self, question: bytes, within: float) -> bool:
+        """Whether a harmless question is answered on this connection in so many seconds. A connection that
+        rested may have fallen silent with no error: what is sent on it then never arrives."""
+        try:
+            async with asyncio.timeout(within):
+                await self.ask(question)
+        except (OSError, TimeoutError, HttpError):
+            return False
+        return self.reusable
+
     @property
     def reusable(self) -> bool:
         """Whether the next forward may go on it: the answer is whole, and nothing but it has come."""
@@ -219,18 +234,21 @@
         while self._idle:
             self.drop_oldest()
 
-    async def ask(self, data: bytes, within: float) -> tuple[Message, bytes] | None:
-        """One short question (a probe, letting go); None if it was not answered in time."""
+    async def ask(
+        self, data: bytes, within: float, fresh: bool = False
+    ) -> tuple[Message, bytes] | None:
+        """One short question (a probe, a release); None if it was not answered in `within` seconds. `fresh`:
+        on a connection of its own, as kept ones may have fallen silent."""
         connection = None
-        with contextlib.suppress(OSError, TimeoutError, HttpError):
+        try:
             async with asyncio.timeout(within):
-                connection = await self.take(fresh=False)
-                await connection.send(data)
-                head = await connection.head()
-                body = await connection.rest()
+                connection = await self.take(fresh)
+                answer = await connection.ask(data)
                 self.give(connection)
                 connection = None
-                return head, body
-        if connection:
-            connection.abort()
-        return None
+                return answer
+        except (OSError, TimeoutError, HttpError):
+            return None
+        finally:  # the caller may be cancelled, too
+            if connection:
+                connection.abort()
--- a/lifthead/hosting.py
+++ b/lifthead/hosting.py
@@ -1,9 +1,9 @@
 """What every program that hosts the decision module does alike: the daemon's host and the node's.
 
 - `_answered` is the one place that a final answer passes, which makes a second one impossible;
-- a forward that is out has one task, which the module calls off by the forward's number;
+- an attempt that is in flight has one task, which the module cancels by the attempt's number;
 - wake-ups that the module asks for while it is told of a req go with the req;
-- in the instant before an attempt is sent `_barred` looks once more whether it may be: rules 1, 2 and 3;
+- every attempt, final answer and held state of a request passes its guard (lifthead/guard.py);
 - a forward's connection is given back or closed before its ending is told.
 """
 
@@ -16,8 +16,9 @@
 
 from lifthead import control
 from lifthead.chat.server import Reply
-from lifthead.engines.codec import Sight
+from lifthead.engines.codec import PROVEN_NOT_RUN, Sight
 from lifthead.engines.link import Connection, Link
+from lifthead.guard import Attempt, HeldState, Refusal, RequestGuard, Rule, Violations, Work
 from lifthead.http1 import Message
 from lifthead.interface import Demand, Deployment
 
@@ -25,6 +26,10 @@
 WHOLE = (Sight.READ, Sight.WRITTEN, Sight.TURNED_AWAY, Sight.STATE_GONE)
 
 
+# Turns of the event loop in which it looks at its sockets, reads them, and runs the tasks that wait for that.
+TURNS_TO_READ = 3
+
+
 def now() -> int:
     """This machine's own clock, whole microseconds."""
     return time.monotonic_ns() // 1000
@@ -40,15 +45,10 @@
     return max(told - ahead, 1) if told else 0
 
 
-@dataclass(slots=True, eq=False)
-class Out:
-    """A forward that is out."""
-
-    number: int
-    engine: str
-    reading: bool
-    sent_at: int
-    send_by: int  # later than this it must not be sent
+@dataclass(slots=True, eq=False, kw_only=True)
+class Out(Attempt):
+    """An attempt in flight, with the task that carries it."""
+
     task: asyncio.Task | None = None
     started: bool = False
     called_off: bool = False
@@ -60,12 +60,17 @@
 
     id: int
     reply: Reply
+    guard: RequestGuard
     out: Any = None  # its Out
     forwards: int = 0
     begun: bool = False
-    ended: str = ""  # how: exactly one word, once
     timers: list[asyncio.TimerHandle] = field(default_factory=list)
 
+    @property
+    def ended(self) -> str:
+        """The final answer in one word, "" if there is none yet."""
+        return self.guard.final
+
 
 @dataclass(slots=True, eq=False)
 class Peer:
@@ -90,6 +95,8 @@
         self.empty = asyncio.Event()
         self.empty.set()
         self.router: control.Router
+        self.violations = Violations(self._violated)
+        self._allowed = deployment.let_go_by
         self._tasks = tasks
         self._groups = deployment.groups
         self._roles = deployment.roles
@@ -137,15 +144,31 @@
             if name not in named and peer.readiness != "gone":
                 peer.readiness, peer.told_at = "gone", at
 
-    def _barred(self, hand: Any, out: Out, peer: Peer) -> Sight | None:
+    def _refused(self, hand: Any, out: Out, peer: Peer) -> Sight | None:
         """What has come between an attempt and its sending while its connection came up: None if nothing has.
         What tells the loop that a client left may wait behind other work, so the system is asked."""
-        if peer.readiness != "ready" or now() >= out.send_by:
-            return Sight.STALE
-        if hand.reply.gone:
+        refusal = hand.guard.refusal(out, now(), peer.readiness == "ready", hand.reply.gone)
+        if refusal is None:
+            hand.guard.writing(out, now())
+            return None
+        if refusal is Refusal.CLIENT_GONE:
             self._left(hand)
-            return Sight.CALLED_OFF
-        return None
+        return Sight.CALLED_OFF if refusal in (Refusal.CLIENT_GONE, Refusal.ANSWERED) else Sight.STALE
+
+    def _guard(self, request: str, group: str, budget: int) -> RequestGuard:
+        effect = self._groups[group].effect
+        return RequestGuard(request, effect, now() + budget, self._allowed, self.violations)
+
+    def _violated(self, rule: Rule, request: str, why: str) -> None:
+        """An invariant is broken: to be logged with all that is known of the request."""
+        raise NotImplementedError
+
+    def _ended(self, hand: Any, out: Out, sight: Sight) -> None:
+        """An attempt is over. A state that it may have left, or kept from being released, is released."""
+        hand.guard.ended(out, now(), sight in PROVEN_NOT_RUN)
+        hand.out = None
+        if hand.guard.held and hand.guard.held.state is HeldState.POSSIBLE:
+            self.free_state(hand.id)
 
     def _left(self, hand: Any) -> None:
         raise NotImplementedError
@@ -160,17 +183,36 @@
         if self._taking:  # a wake-up for a req is of no use once the req is over
             self._taking.timers.append(timer)
 
-    def _ring(self, label: int) -> None:
-        if not self._stopped:
+    def _ring(self, label: int, turns: int = TURNS_TO_READ) -> None:
+        """What the system held while this process had no turn is read first: a call that looks unanswered
+        may have its answer there."""
+        if turns:
+            self._loop.call_soon(self._ring, label, turns - 1)
+        elif not self._stopped:
             self.router.on_wake(label)
 
     def forward(self, req: int, engine: str, abandon_at: int, send_by: int) -> None:
-        hand = self.in_hand[req]
-        reading = self._roles.get(self.peers[engine].kind, "both") == "read"
-        hand.out = self.out_type(hand.forwards, engine, reading, now(), min(send_by, abandon_at))
+        hand, at = self.in_hand[req], now()
+        send_by = min(send_by, abandon_at)
+        work = self._work(hand, engine)
+        hand.out = self.out_type(number=hand.forwards, engine=engine, work=work, sent_at=at, send_by=send_by)
+        hand.guard.start(hand.out)
+        self._check_slow_start(hand, engine, at)
         hand.forwards += 1
         hand.out.task = self._tasks.create_task(self._carry(hand, hand.out, abandon_at))
 
+    def _work(self, hand: Any, engine: str) -> Work:
+        if self._roles.get(self.peers[engine].kind, "both") == "read":
+            return Work.PREFILL
+        held = hand.guard.held
+        return Work.FETCH if held and held.state is HeldState.LEASED else Work.WHOLE
+
+    def _check_slow_start(self, hand: Any, name: str, at: int) -> None:
+        """A cold engine gets no more than this router's part, which is counted when the attempt is placed."""
+        engine = self.router.engines.get(name)
+        if engine and at < engine.cold_until and engine.cold_credit < 0:
+            self.violations.add(Rule.SLOW_START, hand.guard.request, f"{name}: {engine.cold_credit:.2f}")
+
     def cancel(self, req: int, forward: int) -> None:
         hand = self.in_hand.get(req)
         out = hand.out if hand else None
@@ -196,10 +238,13 @@
 
     def _answered(self, hand: InHand, ended: str) -> bool:
         """The one place that a final answer passes. False: there was one already."""
-        if hand.ended:
-            return False
-        hand.ended = ended
-        return True
+        return hand.guard.answer(ended, now())
+
+    def check_held_states(self) -> None:
+        """Looks for states that are held for too long; to be called now and then."""
+        at = now()
+        for hand in self.in_hand.values():
+            hand.guard.overdue(at)
 
     def _forget(self, hand: InHand) -> bool:
         """Lets go of a req that has its answer and no forward out; True if it did so now."""
--- a/lifthead/node/engines.py
+++ b/lifthead/node/engines.py
@@ -82,6 +82,8 @@
     return b"DELETE /bootstrap/rooms/%b HTTP/1.1\r\nhost: backend.local\r\n\r\n" % client_id.encode()
 
 
+RELEASED = range(200, 300)  # statuses that say that a release was taken
+
 PROBE = b"GET /status/load HTTP/1.1\r\nhost: backend.local\r\n\r\n"
 
 
--- a/lifthead/node/host.py
+++ b/lifthead/node/host.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -16,6 +17,7 @@
 from lifthead.engines.codec import Sight
 from lifthead.engines.link import Connection, Lasting, Link, UnwrittenError
 from lifthead.events import Event, EventLog
+from lifthead.guard import Held, HeldState, RequestGuard, Rule, Work
 from lifthead.hosting import Hosting, Out, now
 from lifthead.http1 import HttpError, Message
 from lifthead.interface import Effect, LoadReport
@@ -25,8 +27,10 @@
 
 ASK_WITHIN = 0.5  # seconds for a probe; the module is told nothing of a lost one
 SETTLES_IN = 0.02  # seconds in which the engine of a read that was given up sees its connection end
-RELEASE_WITHIN = 0.12  # seconds for an engine to answer a release before another is asked
-RELEASE_AT = 3  # times that engines are asked: the holder first
+CHECK_WITHIN = 0.1  # seconds for a kept connection to show that it is not silent
+RELEASE_WITHIN = 0.5  # seconds for an engine to answer a release
+# A release goes to the holder, then after so many seconds each without an answer also to others.
+RELEASE_PAUSES = (0.05, 0.05, 0.1, 0.3, 0.5)
 RELEASE_ZONES = 4  # engines that are asked at once, each of another zone
 SWEEP_EVERY = 0.5  # seconds
 LATE = 200_000  # microseconds of delay of ours that are worth a line in the log
@@ -42,10 +46,6 @@
 
     group: str
     message: Message
-    may_hold: str = ""  # a reader where its state may wait
-    unsure: bool = False  # that read has not ended well, but may have just as it was given up
-    read_at: int = 0  # when a read ended well whose state nobody was sent for yet
-
 
 @dataclass(slots=True, eq=False)
 class Peer(hosting.Peer):
@@ -104,7 +104,8 @@
             reply.keep_alive = False
             return reply.whole(problem.status, clients.error(problem.status, "bad_req", problem.said))
         self._next += 1
-        hand = InHand(id=demand.id, reply=reply, group=demand.group, message=message)
+        guard = self._guard(client_id, demand.group, demand.budget)
+        hand = InHand(id=demand.id, reply=reply, guard=guard, group=demand.group, message=message)
         self.in_hand[hand.id] = hand
         self._open_ids.add(client_id)
         self.empty.clear()
@@ -132,12 +133,14 @@
 
     def free_state(self, req: int) -> None:
         hand = self.in_hand.get(req)
-        if hand and hand.may_hold and hand.out is None:
-            reason = hand.ended or "lease"
-            self._report_event(hand, Event.RELEASING, engine=hand.may_hold, detail=f"reason={reason}")
-            client_id, settles_in = hand.message.headers[clients.ID], SETTLES_IN * hand.unsure
-            self._tasks.create_task(self._release(hand.may_hold, client_id, settles_in))
-            hand.may_hold = ""
+        held = hand.guard.releasable() if hand else None
+        if hand is None or held is None:
+            return
+        settles_in = SETTLES_IN * (held.state is HeldState.POSSIBLE)
+        reason = hand.ended or f"lease_{held.state.value}"
+        self._report_event(hand, Event.RELEASING, engine=held.holder, detail=f"reason={reason}")
+        held.state = HeldState.RELEASING
+        self._tasks.create_task(self._release(hand.guard, held, settles_in))
 
     def push_back(self, req: int, hold_off: int) -> None:
         hand = self.in_hand[req]
@@ -169,10 +172,11 @@
                     raise asyncio.CancelledError
                 # A kept connection that was dropped at the other end can't be told from a forward that ran.
                 may_repeat = out.reading or self._groups[hand.group].effect is Effect.REPLAYABLE
-                for fresh in (not may_repeat, *[True] * engines.CONNECT_AGAIN):
+                fetches_again = out.work is Work.FETCH and out.number > 1
+                for fresh in (not may_repeat or fetches_again, *[True] * engines.CONNECT_AGAIN):
                     connection = None
                     try:
-                        connection = await peer.link.take(fresh)
+                        connection = await self._connection(hand, out, peer, fresh)
                         sight, note, report = await self._exchange(
                             hand, out, peer, connection, limit, abandon_at
                         )
@@ -201,35 +205,53 @@
         self._connections -= 1
         if connection and sight is Sight.CUT:
             peer.link.broke(connection)
-        if sight not in hosting.WHOLE and sight is not Sight.STALE:
-            self._report_event(hand, Event.CLOSED, out, f"reason={sight.name.lower()} {connection or ''}")
+        elif connection and connection.uses and not connection.answered:
+            peer.link.close()  # others that rest may be silent as well
+        if sight not in (Sight.READ, Sight.WRITTEN):
+            reason = f"reason={sight.name.lower()} work={out.work.value}"
+            self._report_event(hand, Event.CLOSED, out, f"{reason} {connection or ''}")
         await self._part(peer, connection, sight)
         self._over(hand, out, sight, note, report)
 
+    async def _connection(self, hand: InHand, out: Out, peer: Peer, fresh: bool) -> Connection:
+        """A connection for an attempt. A kept one may have fallen silent with no error, so it is asked first:
+        a release of what this request holds, which is nothing yet. A call that is to fetch a state can't ask
+        that; its lease bounds the wait."""
+        connection = await peer.link.take(fresh)
+        if not connection.uses or out.work is Work.FETCH:
+            return connection
+        question = engines.release(hand.guard.request)
+        if await connection.answers(question, CHECK_WITHIN):
+            return connection
+        self._report_event(hand, Event.CLOSED, out, f"reason=silent {connection}")
+        peer.link.broke(connection)
+        connection.abort()
+        peer.link.close()  # others that rest may be silent as well
+        return await peer.link.take(fresh=True)
+
     async def _exchange(
         self, hand: InHand, out: Out, peer: Peer, connection: Connection, limit: asyncio.Timeout, due_at: int
     ) -> tuple[Sight, int, LoadReport | None]:
         """Sends a forward and reads its answer: what was seen, tokens found kept, the load told with it."""
-        if barred := self._barred(hand, out, peer):
-            return barred, 0, None
-        out.sent_at = now()
+        if refused := self._refused(hand, out, peer):
+            return refused, 0, None
         self._note_event(hand, Event.WRITING, out, str(connection))
-        if out.reading:
-            hand.may_hold, hand.unsure = out.engine, True
-        elif hand.read_at and out.sent_at - hand.read_at > LATE:
-            log.warning("a state waited %d ms at %s", (out.sent_at - hand.read_at) // 1000, hand.may_hold)
         await connection.send(engines.forward(hand.message, due_at - out.sent_at))
+        hand.guard.written(out)
         self._note_event(hand, Event.WRITTEN, out)
         head = await connection.head()
         peer.heard_at = now()
         self._note_event(hand, Event.CONFIRMED, out, f"status={head.status}")
         report = engines.report_with(head.headers)
         sight = engines.sight_of(head)
+        hand.guard.confirmed_by(out, now(), answered=sight is not None)
+        if sight is Sight.STATE_GONE:
+            hand.guard.state_gone()
         if sight:
             body = await connection.rest(engines.ANSWER_BYTES)
             if sight is not Sight.READ:
                 return sight, 0, report
-            hand.unsure, hand.read_at = False, now()
+            hand.guard.leased(out.engine, now())
             self._note_event(hand, Event.LEASED, out)
             return sight, engines.tokens_kept(body), report
         return await self._stream(hand, out, connection, limit)
@@ -249,7 +271,8 @@
             if hand.ended:
                 return Sight.CALLED_OFF, 0, None
             if not hand.begun:
-                hand.begun, hand.may_hold = True, ""  # the writer has fetched what was held
+                hand.begun = True
+                hand.guard.fetched(out)
                 self._note_event(hand, Event.FETCHED, out)
                 hand.message.body = b""  # there is no further forward, and streams are long
                 self.router.on_begun(hand.id, out.number, now() - out.sent_at)
@@ -273,11 +296,9 @@
     def _over(self, hand: InHand, out: Out, sight: Sight, note: int, report: LoadReport | None) -> None:
         """Tells how a forward ended. A stream that broke in front of its client ends without a last chunk."""
         ending, mark = engines.ENDINGS[sight]
-        hand.out = None
+        self._ended(hand, out, sight)
         if hand.begun and self._answered(hand, "broken"):
             hand.reply.cut()
-        if hand.unsure and sight is Sight.NO_CONNECTION:
-            self.free_state(hand.id)  # guards rule 5: no attempt is out while connections don't come up
         final = hand.ended != ""
         took = now() - out.sent_at
         self._note_event(hand, Event.ENDED, out, f"outcome={sight.name.lower()} took_us={took}")
@@ -294,35 +315,53 @@
         if self._connections > self.most_connections:
             self.shed()
 
-    async def _release(self, holder: str, client_id: str, settles_in: float) -> None:
-        """Any engine passes a release on. Where the holder does not answer, the ones last heard of are asked,
-        each of another zone at a time: a zone that is cut off was heard of until a moment ago. A read that
-        ends just as it is given up leaves its state behind: the release must not overtake that."""
+    async def _release(self, guard: RequestGuard, held: Held, settles_in: float) -> None:
+        """Any engine passes a release on. A prefill that ends just as it is given up leaves its state behind:
+        the release must not overtake that."""
         began = now()
         await asyncio.sleep(settles_in)
-        if await self._ask_to_release(holder, engines.release(client_id)):
+        if await self._ask_to_release(held.holder, engines.release(guard.request)):
             took = now() - began
-            self.events.note(now(), Event.RELEASED, client_id, engine=holder, detail=f"took_us={took}")
-            if took > LATE:
-                log.warning("the release of %s at %s took %d ms", client_id, holder, took // 1000)
+            guard.released(held, now())
+            record = self.events.report if took > LATE else self.events.note
+            record(now(), Event.RELEASED, guard.request, engine=held.holder, detail=f"took_us={took}")
         else:
-            self.events.report(now(), Event.RELEASE_UNANSWERED, client_id, engine=holder)
-            log.warning("no engine answered the release of %s", client_id)
+            self.events.report(now(), Event.RELEASE_UNANSWERED, guard.request, engine=held.holder)
 
     async def _ask_to_release(self, holder: str, question: bytes) -> bool:
-        if await self._ask(holder, question, RELEASE_WITHIN) is not None:
-            return True
+        """Asks more and more engines until one has answered. All but the first question go on connections of
+        their own: what is kept may be silent, as whatever led to the release may have been."""
+        answered = asyncio.Event()
+
+        async def ask(engine: str, fresh: bool) -> None:
+            answer = await self._ask(engine, question, RELEASE_WITHIN, fresh)
+            if answer and answer[0].status in engines.RELEASED:
+                answered.set()
+            elif answer:
+                _say_once(self.peers[engine], engine, f"a release was answered with {answer[0].status}")
+
+        async with asyncio.TaskGroup() as asking:
+            tasks = []
+            for turn, pause in enumerate(RELEASE_PAUSES):
+                asked = [holder, *self._last_heard(holder, turn - 1)] if turn else [holder]
+                tasks += [asking.create_task(ask(engine, turn > 0)) for engine in asked]
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(pause):
+                        await answered.wait()
+                        break
+            for task in tasks:
+                task.cancel()
+        return answered.is_set()
+
+    def _last_heard(self, holder: str, turn: int) -> list[str]:
+        """The engine last heard of in each zone, or the one before it at a later turn: a zone that is cut off
+        was heard of until a moment ago."""
         there: dict[str, list[str]] = {self._start.deployment.zone: []}
         for name in sorted(self.peers, key=lambda name: -self.peers[name].heard_at):
             if name != holder and self.peers[name].readiness != "gone":
                 there.setdefault(self.peers[name].zone, []).append(name)
         zones = [names for names in there.values() if names][:RELEASE_ZONES]
-        for turn in range(RELEASE_AT - 1):
-            asked = [names[turn] for names in zones if turn < len(names)]
-            answers = await asyncio.gather(*(self._ask(name, question, RELEASE_WITHIN) for name in asked))
-            if any(answers):
-                return True
-        return False
+        return [names[turn % len(names)] for names in zones]
 
     async def _probe(self, engine: str) -> None:
         answer = await self._ask(engine, engines.PROBE, ASK_WITHIN)
@@ -332,7 +371,9 @@
             report = engines.report_with(head.headers) or engines.report_of(body.decode("latin-1"))
         self.router.on_probed(engine, report)
 
-    async def _ask(self, engine: str, data: bytes, within: float) -> tuple[Message, bytes] | None:
+    async def _ask(
+        self, engine: str, data: bytes, within: float, fresh: bool = False
+    ) -> tuple[Message, bytes] | None:
         """One short question; None if it was not answered in time."""
         peer = self.peers.get(engine)
         if peer is None:
@@ -340,19 +381,21 @@
         self._connections += 1
         try:
             self._make_room()
-            answer = await peer.link.ask(data, within)
+            answer = await peer.link.ask(data, within, fresh)
             peer.heard_at = now() if answer else peer.heard_at
             return answer
         finally:
             self._connections -= 1
 
     async def look_after_links(self) -> None:
-        """Closes what waits unused for too long, and forgets engines that are gone: new ones come all day."""
+        """Closes what waits unused for too long, forgets engines that are gone, as new ones come all day, and
+        looks for states that are held for too long."""
         while True:
             due_at = now() + int(SWEEP_EVERY * 1e6)
             await asyncio.sleep(SWEEP_EVERY)
             if (late := now() - due_at) > LATE:
                 log.warning("the event loop is %d ms late", late // 1000)
+            self.check_held_states()
             past, in_use = now() - GONE_FOR, self._in_use()
             for name, peer in list(self.peers.items()):
                 peer.link.sweep()
@@ -362,7 +405,9 @@
 
     def _in_use(self) -> set[str]:
         hands = self.in_hand.values()
-        return {hand.out.engine for hand in hands if hand.out} | {hand.may_hold for hand in hands}
+        return {hand.out.engine for hand in hands if hand.out} | {
+            hand.guard.held.holder for hand in hands if hand.guard.held
+        }
 
     # The end of a req.
 
@@ -384,6 +429,10 @@
 
     # Evidence.
 
+    def _violated(self, rule: Rule, request: str, why: str) -> None:
+        self.events.report(now(), Event.VIOLATION, request, detail=f"rule={rule.value} why={why}")
+        self.events.dump(f"{rule.value} violated", request)
+
     def _note_event(
         self, hand: InHand, event: Event, out: Out | None = None, detail: str = "", engine: str = ""
     ) -> None:
--- a/lifthead/node/serve.py
+++ b/lifthead/node/serve.py
@@ -82,7 +82,7 @@
         await door.closed()
         for task in lasting:
             task.cancel()
-    log.info("%s stopped", told.name)
+    log.info("%s stopped, invariant violations: %s", told.name, host.violations)
 
 
 async def read_again(
--- a/lifthead/standins/faults/proxy.py
+++ b/lifthead/standins/faults/proxy.py
@@ -1,7 +1,7 @@
 """A TCP proxy between one router and one other process, with faults that can be switched on and off.
 
-It records when a request's first byte left the router and when the router closed the connection that it was
-on: an engine that can't be reached sees neither.
+It records when a request's first byte left the router, when the end of a prefill reached the router, and when
+the router closed the connection: an engine that can't be reached sees none of these.
 """
 
 import asyncio
@@ -17,6 +17,7 @@
 READ = 65_536
 TRACE = re.compile(rb"(?i)\r\nx-trace-id: *([0-9A-Za-z_-]+)").search
 METHODS = (b"POST ",)
+READ_DONE = b"HTTP/1.1 202"
 POLL = 0.01  # seconds between looks at a fault that holds bytes back
 UNSEEN_FOR = 5.0  # seconds for which the engine keeps a silent connection that the router has closed
 FILL = 4  # connections that fill a listen queue of length 0
@@ -131,6 +132,7 @@
             writer.transport.abort()
 
     async def _pass(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        hung = Fault.HANG in self.faults
         while Fault.HANG in self.faults:
             await asyncio.sleep(POLL)
         from_engine, to_engine = await asyncio.open_connection("127.0.0.1", self.target)
@@ -139,7 +141,7 @@
         try:
             async with asyncio.TaskGroup() as tasks:
                 down = tasks.create_task(self._down(pair, from_engine))
-                await self._up(pair, reader)
+                await self._up(pair, reader, hung)
                 down.cancel()
         except* OSError:
             pass
@@ -150,24 +152,28 @@
                     await asyncio.sleep(UNSEEN_FOR)
             to_engine.transport.abort()
 
-    async def _up(self, pair: Pair, reader: asyncio.StreamReader) -> None:
-        """From the router to the engine."""
+    async def _up(self, pair: Pair, reader: asyncio.StreamReader, hung: bool) -> None:
+        """From the router to the engine. `hung`: what is read first may have been sent long ago."""
         while True:
+            hung = hung or Fault.HANG in self.faults
             while Fault.HANG in self.faults:
                 await asyncio.sleep(POLL)
             data = await self._read(reader)
+            hung = hung or Fault.HANG in self.faults
             if not data:
                 self.record.put("router_closed", router=self.router, engine=self.engine, port=pair.port)
                 return
             if data.startswith(METHODS) and (trace := TRACE(data)):
                 request = trace[1].decode()
                 self.record.put(
-                    "sent", router=self.router, engine=self.engine, port=pair.port, request=request
-                )
+                    "sent", router=self.router, engine=self.engine, port=pair.port, request=request,
+                    seen_late=hung,
+                )  # fmt: skip
                 if Fault.HALF in self.faults:
                     self.faults.discard(Fault.HALF)
                     pair.engine.write(data[: len(data) // 2])
                     pair.silent = True
+            hung = False
             await self._wait()
             if not pair.silent and Fault.CUT_UP not in self.faults:
                 pair.engine.write(data)
@@ -182,6 +188,8 @@
                 pair.silent = True
             if not pair.silent and Fault.CUT_DOWN not in self.faults:
                 pair.router.write(data)
+                if data.startswith(READ_DONE):
+                    self.record.put("delivered", router=self.router, engine=self.engine, port=pair.port)
         if not pair.silent:
             pair.router.transport.abort()
 
--- a/lifthead/state.py
+++ b/lifthead/state.py
@@ -2,9 +2,13 @@
 
 from dataclasses import dataclass, field
 from itertools import accumulate
+from typing import TYPE_CHECKING
 
 from lifthead.interface import Demand, Effect, EndpointGroup, LoadReport
 
+if TYPE_CHECKING:
+    from lifthead.leases import Lease
+
 
 class Histogram:
     """Counts in a few bins, each twice as wide as the one before; all halved once `keep` values are in."""
@@ -56,6 +60,7 @@
     target: int  # the req's response target
     told: bool = False  # the engine's own word was part of that backlog
     written_off: bool = False  # lost, or at an engine that was found silent
+    overdue_at: int = 1 << 62  # a decode call that has brought nothing by then may be given up
     begun: bool = False
     first_took: int = 0  # from the sending to the end of the read or the first token
 
@@ -143,8 +148,8 @@
     over_share: bool = False  # beyond its tenant's share
     forwards: int = 0
     out: Forward | None = None
-    held_at: Engine | None = None  # the reader where its state waits
-    held_since: int = 0  # since when no forward that got through has been out for it
+    lease: "Lease | None" = None  # of its state, which waits at a prefill engine
+    moved_at: int = 0  # when the last decode call was sent that was given up, as nothing had come back
     may_have_run: Engine | None = None
     run_window_ends: int = 1 << 62  # nothing is sent for it later than this
     answered: bool = False
