A second silent call is given up early only where other engines answer meanwhile

Seen: with healthy engines whose first token takes 1.2 s (reproduction slow_first_token) 2 of 12 requests gave up two calls and were rejected after four attempts; control.py, _overdue_at hurried without any sign that engines are quicker elsewhere.

--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -425,16 +425,20 @@
 
     def _overdue_at(self, req: Req, call: Forward) -> int:
         """When a decode call has taken longer than such calls do. A request's last attempt is waited for. One
-        that has given up a call before hurries, so that a third engine can still fetch the state."""
+        that has given up a call before, while others answered, hurries, so that a third engine can still fetch
+        the state."""
         least, pace = retry_after(self.let_go_by), self.pace["fetch"]
         if not least or req.forwards + 1 >= self.max_forwards:
             return NEVER
         measured = pace.total >= ENOUGH
         usual = pace.quantile(0.9) * (call.backlog + OVERHEAD) / 1000 if measured else 0
         overdue_at = call.sent_at + max(int(OVERDUE * usual), least)
-        if req.lease and req.moved_at and call.sent_at + least // 2 <= req.lease.last_call_at:
-            return min(overdue_at, req.lease.last_call_at)
-        return overdue_at + (least if req.moved_at and not measured else 0)
+        if not req.moved_at:
+            return overdue_at
+        if not any(engine.heard_at >= req.moved_at for engine in self.writers):
+            return overdue_at if measured else NEVER
+        hurries = req.lease and call.sent_at + least // 2 <= req.lease.last_call_at
+        return min(overdue_at, req.lease.last_call_at) if hurries else overdue_at
 
     # Choosing an engine.
 
