--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 
 test: setup
 	$(VENV)/bin/ruff check lifthead tests benchmarks
+	$(VENV)/bin/ruff format --check -q lifthead tests benchmarks
 	$(VENV)/bin/python -m pytest -q
 
 demo: setup
--- a/lifthead/cli.py
+++ b/lifthead/cli.py
@@ -11,12 +11,12 @@
 
 import msgspec
 import typer
-from rich.console import Console
-from rich.table import Table
 
 from lifthead.deployment import derive, script
 from lifthead.deployment.fleet import Fleet
 from lifthead.lab import command as lab
+from lifthead.ledger import command as ledger
+from lifthead.output import print_json, print_table
 
 app = typer.Typer(
     no_args_is_help=True,
@@ -25,6 +25,7 @@
     help="A router for language-model servers.",
 )
 app.add_typer(lab.app, name="lab")
+app.add_typer(ledger.app, name="ledger")
 RunDir = Annotated[Path, typer.Option("--run", help="Run directory: admin sockets and records.")]
 AsJson = Annotated[bool, typer.Option("--json", help="One JSON document, for scripts.")]
 DEFAULT_RUN = Path(".lifthead")
@@ -43,24 +44,6 @@
         raise typer.Exit(2) from None
 
 
-def _json(value: Any) -> None:
-    typer.echo(msgspec.json.encode(value, enc_hook=int).decode())
-
-
-def _table(rows: list[dict[str, Any]], title: str) -> None:
-    table = Table(title=title, title_justify="left")
-    for column in rows[0] if rows else ():
-        table.add_column(column.replace("_", " "))
-    for row in rows:
-        table.add_row(
-            *(
-                "-" if value is None else f"{value:.1f}" if isinstance(value, float) else str(value)
-                for value in row.values()
-            )
-        )
-    Console().print(table)
-
-
 @app.command()
 def check(file: Path, as_json: AsJson = False) -> None:
     """Print what a settings script says, and the figures that follow from it."""
@@ -69,7 +52,7 @@
         name: msgspec.to_builtins(derive.deployment(fleet, name, 0), enc_hook=int) for name in fleet.routers
     }
     if as_json:
-        return _json({"fleet": fleet, "derived": derived})
+        return print_json({"fleet": fleet, "derived": derived})
     for title, part in (
         ("engines", fleet.engines),
         ("endpoint groups", fleet.groups),
@@ -79,8 +62,8 @@
         rows = [msgspec.to_builtins(each, enc_hook=int) for each in part.values()]
         for row in rows:
             row.pop("keys", None)
-        _table(rows, title)
-    _table(
+        print_table(rows, title)
+    print_table(
         [
             {"figure": key, "value": value}
             for key, value in next(iter(derived.values())).items()
@@ -177,7 +160,7 @@
     if said is None:
         typer.echo(f"{name}: dead, or it does not answer", err=True)
         raise typer.Exit(1)
-    _json(said) if as_json else _table([said], name)
+    print_json(said) if as_json else print_table([said], name)
 
 
 @app.command()
@@ -186,10 +169,10 @@
     said = _ask(run, {"ask": "state"})
     rows = [{"name": name, "state": "dead"} if one is None else one for name, one in said.items()]
     if as_json:
-        _json(rows)
+        print_json(rows)
     else:
         shown = ("name", "zone", "state", "reqs", "connections", "engines", "list_age_s", "pid", "base_url")
-        _table([{key: row.get(key) for key in shown} for row in rows], "routers")
+        print_table([{key: row.get(key) for key in shown} for row in rows], "routers")
     if any(one is None for one in said.values()):
         raise typer.Exit(1)
 
@@ -203,9 +186,9 @@
     """Each router's view of the engines."""
     said = _ask(run, {"ask": "engines"}, router)
     if as_json:
-        return _json(said)
+        return print_json(said)
     for name, rows in said.items():
-        _table(rows or [], f"{name} {'(dead)' if rows is None else ''}")
+        print_table(rows or [], f"{name} {'(dead)' if rows is None else ''}")
     return None
 
 
@@ -214,14 +197,14 @@
     """Each router's sources of engines: the file's generation, what is held back, who said what."""
     said = _ask(run, {"ask": "members"})
     if as_json:
-        return _json(said)
+        return print_json(said)
     for name, found in said.items():
         if found is None:
             typer.echo(f"{name}: dead")
             continue
-        _table([found["file"]] if found["file"] else [], f"{name}: file")
-        _table(found["sources"], f"{name}: sources")
-        _table(found["engines"], f"{name}: engines")
+        print_table([found["file"]] if found["file"] else [], f"{name}: file")
+        print_table(found["sources"], f"{name}: sources")
+        print_table(found["engines"], f"{name}: engines")
     return None
 
 
@@ -238,7 +221,7 @@
         }
         for name, found in said.items()
     ]
-    _json(rows) if as_json else _table(rows, "routers")
+    print_json(rows) if as_json else print_table(rows, "routers")
     if not all(row["taken"] for row in rows):
         raise typer.Exit(1)
 
@@ -286,12 +269,12 @@
     question["limit"] = int(question["limit"])
     said = _ask(run, question)
     if as_json:
-        _json(said)
+        print_json(said)
     for name, found in said.items() if not as_json else ():
         if found is None or not found["taken"]:
             typer.echo(f"{name}: {found['why'] if found else 'dead'}")
         else:
-            _table(found["engines"], f"{name}: draining")
+            print_table(found["engines"], f"{name}: draining")
     if not all(found and found["taken"] for found in said.values()):
         raise typer.Exit(1)
 
@@ -346,7 +329,7 @@
         return await rolling.Rolling(run, place, kept, say).run()
 
     def say(text: str) -> None:
-        _json({"said": text}) if as_json else typer.echo(text)
+        print_json({"said": text}) if as_json else typer.echo(text)
 
     try:
         run.mkdir(parents=True, exist_ok=True)
@@ -398,9 +381,9 @@
         raise typer.Exit(2) from None
     found = change(before, then, fleet)
     if as_json:
-        _json(found.plain() | {"digest": then.digest})
+        print_json(found.plain() | {"digest": then.digest})
     else:
-        _table(
+        print_table(
             [{"what": key, "engines": str(value)} for key, value in found.plain().items()],
             f"digest {then.digest}",
         )
@@ -444,8 +427,8 @@
             if as_json:
                 print(msgspec.json.encode(line).decode(), flush=True)
             else:
-                _table(line["routers"], "routers")
-                _table(line["engines"], "engines")
+                print_table(line["routers"], "routers")
+                print_table(line["engines"], "engines")
             await over.wait()
             desk.close()
             (run / STAGE).unlink(missing_ok=True)
@@ -472,7 +455,7 @@
     except ValueError as problem:
         typer.echo(f"{file}: {problem}", err=True)
         raise typer.Exit(2) from None
-    _json(summary) if as_json else _table(
+    print_json(summary) if as_json else print_table(
         [{"what": key, "figure": str(value)} for key, value in summary.items()], f"{file.name}, seed {seed}"
     )
     if summary["breaches"]:
@@ -492,7 +475,7 @@
         raise typer.Exit(2) from None
     counts = {str(rule): sum(breach.rule == rule for breach in found) for rule in range(1, 6)}
     if as_json:
-        _json(
+        print_json(
             {
                 "reqs": len(traffic.asks),
                 "forwards": sum(map(len, traffic.forwards.values())),
@@ -504,211 +487,12 @@
             typer.echo(f"rule {breach.rule}, {breach.req}: {breach.why}")
             for line in breach.lines:
                 typer.echo(f"    {msgspec.json.encode(line).decode()}")
-        _table(
+        print_table(
             [{"rule": rule, "breaches": count} for rule, count in counts.items()], f"{len(traffic.asks)} reqs"
         )
     if found:
         raise typer.Exit(1)
 
 
-ledger = typer.Typer(no_args_is_help=True, help="A router's ledger, while that router does not run.")
-app.add_typer(ledger, name="ledger")
-LedgerDir = Annotated[Path, typer.Option("--dir", help="The ledger's directory.")]
-DEFAULT_LEDGER = Path(".lifthead/ledger")
-
-
-def _journal(path: Path) -> Any:
-    from lifthead.ledger.keeper import LockedError, open_journal
-
-    if not path.is_dir():
-        typer.echo(f"{path}: no ledger there", err=True)
-        raise typer.Exit(2)
-    try:
-        return open_journal(path)
-    except LockedError as problem:
-        typer.echo(str(problem), err=True)
-        raise typer.Exit(2) from None
-
-
-def _enter(journal: Any, entry: Any, as_json: bool) -> None:
-    """Puts one entry of an operator's into a ledger; exit 2 if it does not fit."""
-    from lifthead.ledger.book import RefusedError
-
-    try:
-        journal.book.check(entry)
-        journal.append([entry])
-    except (RefusedError, OSError) as problem:
-        typer.echo(str(problem), err=True)
-        raise typer.Exit(2) from None
-    _json(entry) if as_json else _table([msgspec.to_builtins(entry)], "entered")
-
-
-@ledger.command()
-def show(directory: LedgerDir = DEFAULT_LEDGER, as_json: AsJson = False) -> None:
-    """Sums by period, tenant and endpoint group; what is closed and exported."""
-    found = _journal(directory)
-    rows = [
-        {"period": period, "tenant": tenant, "group": group, **msgspec.to_builtins(each)}
-        for (period, tenant, group), each in sorted(found.book.sums.items())
-    ]
-    if as_json:
-        return _json(
-            {
-                "ledger": found.name,
-                "entries": found.book.last,
-                "exported": found.book.exported,
-                "closed": sorted(found.book.closed),
-                "missing": found.missing,
-                "sums": rows,
-            }
-        )
-    return _table(rows, f"ledger {found.name}: {found.book.last} entries, {found.book.exported} exported")
-
-
-@ledger.command()
-def close(period: str, directory: LedgerDir = DEFAULT_LEDGER, as_json: AsJson = False) -> None:
-    """Close a period: it gets no more entries, late ones count in the next."""
-    import time
-
-    from lifthead.ledger.entries import Closed
-
-    found, at = _journal(directory), time.time_ns() // 1000
-    _enter(found, Closed(id=f"{found.name}-close-{period}", at=at, period=period), as_json)
-
-
-@ledger.command()
-def correct(
-    tenant: Annotated[str, typer.Argument()] = "",
-    group: Annotated[str, typer.Argument()] = "",
-    of: Annotated[str, typer.Option(help="The period that is corrected; it may be closed.")] = "",
-    reqs: int = 0,
-    prompt: int = 0,
-    answer: int = 0,
-    why: Annotated[str, typer.Option(help="The reason, kept in the entry.")] = "",
-    reverses: Annotated[str, typer.Option(help="Id of a correction to take back.")] = "",
-    zone: Annotated[str, typer.Option(help="Time zone of the periods.")] = "UTC",
-    by: Annotated[str, typer.Option(help="month or day.")] = "month",
-    directory: LedgerDir = DEFAULT_LEDGER,
-    as_json: AsJson = False,
-) -> None:
-    """Enter a correction in the open period, or take one back."""
-    import time
-    import uuid
-
-    from lifthead.ledger.book import RefusedError
-    from lifthead.ledger.entries import Correction, period_of
-
-    found, at = _journal(directory), time.time_ns() // 1000
-    name, now = f"{found.name}-fix-{uuid.uuid4().hex[:12]}", period_of(at, zone, by)
-    if not why or not (reverses or (tenant and group and of)):
-        typer.echo(
-            "correct: expected TENANT GROUP --of PERIOD --why TEXT, or --reverses ID --why TEXT", err=True
-        )
-        raise typer.Exit(2)
-    if reverses:
-        try:
-            entry = found.book.reversal(reverses, name, at, now, why)
-        except RefusedError as problem:
-            typer.echo(str(problem), err=True)
-            raise typer.Exit(2) from None
-    else:
-        entry = Correction(
-            id=name,
-            at=at,
-            period=found.book.open_period(now),
-            of_period=of,
-            tenant=tenant,
-            group=group,
-            reqs=reqs,
-            prompt=prompt,
-            answer=answer,
-            why=why,
-        )
-    _enter(found, entry, as_json)
-
-
-@ledger.command("export")
-def export_(
-    to: Annotated[str, typer.Option(help="A directory, or the URL of a billing system.")],
-    directory: LedgerDir = DEFAULT_LEDGER,
-    as_json: AsJson = False,
-) -> None:
-    """Export what has not landed yet; exit 1 if a batch did not land."""
-    import time
-
-    from lifthead.ledger import export, keeper
-
-    found, batches = _journal(directory), []
-    while True:
-        planned, data, manifest = keeper.plan(found, time.time_ns() // 1000)
-        if planned is None:
-            break
-        if to.startswith("http://"):
-            if not asyncio.run(export.deliver(to, data, manifest)):
-                typer.echo(f"batch {planned.id} did not land: run it again", err=True)
-                raise typer.Exit(1)
-        else:
-            export.put_files(Path(to), data, manifest)
-        keeper.landed(found, planned, time.time_ns() // 1000)
-        batches.append(manifest)
-    _json(batches) if as_json else _table(batches, "landed")
-
-
-@ledger.command()
-def reconcile(
-    exports: Annotated[list[Path], typer.Argument(help="Batches (Parquet), of any routers.")],
-    engines: Annotated[list[Path], typer.Option("--engine", help="Usage records of engines (JSON lines).")],
-    as_json: AsJson = False,
-) -> None:
-    """Exports beside the engines' own counts; exit 1 if a difference is not explained."""
-    from lifthead.ledger import export
-    from lifthead.ledger.reconcile import ConflictError, Merged, compare
-    from lifthead.standins.record import lines
-
-    merged = Merged()
-    try:
-        for path in exports:
-            merged.add(export.entries_of(path))
-        wrote = {
-            line["id"]: line["tokens"] for path in engines for line in lines(path) if line["ev"] == "wrote"
-        }
-    except (ConflictError, OSError, ValueError) as problem:
-        typer.echo(str(problem), err=True)
-        raise typer.Exit(2) from None
-    report = compare(merged, wrote)
-    sums = [
-        {
-            "period": period,
-            "tenant": tenant,
-            "reqs": each[0],
-            "prompt": each[1],
-            "answer": each[2],
-            "agree": report.agree.get(tenant, 0),
-        }
-        for (period, tenant), each in sorted(merged.sums().items())
-    ]
-    differ = [
-        {"req": d.req, "tenant": d.tenant, "ours": d.ours, "theirs": d.theirs, "why": d.why}
-        for d in report.differ
-    ]
-    if as_json:
-        _json({"sums": sums, "differ": differ})
-    else:
-        _table(sums, "billed")
-        _table(differ, "differences")
-    if any(each.why in ("not explained", "an engine's count is missing") for each in report.differ):
-        raise typer.Exit(1)
-
-
-@ledger.command("verify")
-def verify_ledger(directory: LedgerDir = DEFAULT_LEDGER, as_json: AsJson = False) -> None:
-    """Read a whole ledger; exit 1 if entries are missing."""
-    found = _journal(directory)
-    said = {"ledger": found.name, "entries": found.book.last, "missing": found.missing}
-    _json(said) if as_json else _table([said], str(directory))
-    if found.missing:
-        raise typer.Exit(1)
-
-
 if __name__ == "__main__":
     sys.exit(main())
--- a/lifthead/engines/link.py
+++ b/lifthead/engines/link.py
@@ -234,9 +234,7 @@
         while self._idle:
             self.drop_oldest()
 
-    async def ask(
-        self, data: bytes, within: float, fresh: bool = False
-    ) -> tuple[Message, bytes] | None:
+    async def ask(self, data: bytes, within: float, fresh: bool = False) -> tuple[Message, bytes] | None:
         """One short question (a probe, a release); None if it was not answered in `within` seconds. `fresh`:
         on a connection of its own, as kept ones may have fallen silent."""
         connection = None
--- /dev/null
+++ b/lifthead/ledger/command.py
@@ -0,0 +1,211 @@
+"""`lifthead ledger`: a router's ledger, read and corrected while that router does not run. Thin.
+
+Exit codes are those of `lifthead.cli`.
+"""
+
+import asyncio
+import time
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+import typer
+
+from lifthead.output import print_json, print_table
+
+AsJson = Annotated[bool, typer.Option("--json", help="One JSON document, for scripts.")]
+app = typer.Typer(no_args_is_help=True, help="A router's ledger, while that router does not run.")
+LedgerDir = Annotated[Path, typer.Option("--dir", help="The ledger's directory.")]
+DEFAULT_LEDGER = Path(".lifthead/ledger")
+
+
+def _journal(path: Path) -> Any:
+    from lifthead.ledger.keeper import LockedError, open_journal
+
+    if not path.is_dir():
+        typer.echo(f"{path}: no ledger there", err=True)
+        raise typer.Exit(2)
+    try:
+        return open_journal(path)
+    except LockedError as problem:
+        typer.echo(str(problem), err=True)
+        raise typer.Exit(2) from None
+
+
+def _enter(journal: Any, entry: Any, as_json: bool) -> None:
+    """Puts one entry of an operator's into a ledger; exit 2 if it does not fit."""
+    from lifthead.ledger.book import RefusedError
+
+    try:
+        journal.book.check(entry)
+        journal.append([entry])
+    except (RefusedError, OSError) as problem:
+        typer.echo(str(problem), err=True)
+        raise typer.Exit(2) from None
+    print_json(entry) if as_json else print_table([msgspec.to_builtins(entry)], "entered")
+
+
+@app.command()
+def show(directory: LedgerDir = DEFAULT_LEDGER, as_json: AsJson = False) -> None:
+    """Sums by period, tenant and endpoint group; what is closed and exported."""
+    found = _journal(directory)
+    rows = [
+        {"period": period, "tenant": tenant, "group": group, **msgspec.to_builtins(each)}
+        for (period, tenant, group), each in sorted(found.book.sums.items())
+    ]
+    if as_json:
+        return print_json(
+            {
+                "ledger": found.name,
+                "entries": found.book.last,
+                "exported": found.book.exported,
+                "closed": sorted(found.book.closed),
+                "missing": found.missing,
+                "sums": rows,
+            }
+        )
+    return print_table(
+        rows, f"ledger {found.name}: {found.book.last} entries, {found.book.exported} exported"
+    )
+
+
+@app.command()
+def close(period: str, directory: LedgerDir = DEFAULT_LEDGER, as_json: AsJson = False) -> None:
+    """Close a period: it gets no more entries, late ones count in the next."""
+
+    from lifthead.ledger.entries import Closed
+
+    found, at = _journal(directory), time.time_ns() // 1000
+    _enter(found, Closed(id=f"{found.name}-close-{period}", at=at, period=period), as_json)
+
+
+@app.command()
+def correct(
+    tenant: Annotated[str, typer.Argument()] = "",
+    group: Annotated[str, typer.Argument()] = "",
+    of: Annotated[str, typer.Option(help="The period that is corrected; it may be closed.")] = "",
+    reqs: int = 0,
+    prompt: int = 0,
+    answer: int = 0,
+    why: Annotated[str, typer.Option(help="The reason, kept in the entry.")] = "",
+    reverses: Annotated[str, typer.Option(help="Id of a correction to take back.")] = "",
+    zone: Annotated[str, typer.Option(help="Time zone of the periods.")] = "UTC",
+    by: Annotated[str, typer.Option(help="month or day.")] = "month",
+    directory: LedgerDir = DEFAULT_LEDGER,
+    as_json: AsJson = False,
+) -> None:
+    """Enter a correction in the open period, or take one back."""
+    import uuid
+
+    from lifthead.ledger.book import RefusedError
+    from lifthead.ledger.entries import Correction, period_of
+
+    found, at = _journal(directory), time.time_ns() // 1000
+    name, now = f"{found.name}-fix-{uuid.uuid4().hex[:12]}", period_of(at, zone, by)
+    if not why or not (reverses or (tenant and group and of)):
+        typer.echo(
+            "correct: expected TENANT GROUP --of PERIOD --why TEXT, or --reverses ID --why TEXT", err=True
+        )
+        raise typer.Exit(2)
+    if reverses:
+        try:
+            entry = found.book.reversal(reverses, name, at, now, why)
+        except RefusedError as problem:
+            typer.echo(str(problem), err=True)
+            raise typer.Exit(2) from None
+    else:
+        entry = Correction(
+            id=name,
+            at=at,
+            period=found.book.open_period(now),
+            of_period=of,
+            tenant=tenant,
+            group=group,
+            reqs=reqs,
+            prompt=prompt,
+            answer=answer,
+            why=why,
+        )
+    _enter(found, entry, as_json)
+
+
+@app.command("export")
+def export_(
+    to: Annotated[str, typer.Option(help="A directory, or the URL of a billing system.")],
+    directory: LedgerDir = DEFAULT_LEDGER,
+    as_json: AsJson = False,
+) -> None:
+    """Export what has not landed yet; exit 1 if a batch did not land."""
+
+    from lifthead.ledger import export, keeper
+
+    found, batches = _journal(directory), []
+    while True:
+        planned, data, manifest = keeper.plan(found, time.time_ns() // 1000)
+        if planned is None:
+            break
+        if to.startswith("http://"):
+            if not asyncio.run(export.deliver(to, data, manifest)):
+                typer.echo(f"batch {planned.id} did not land: run it again", err=True)
+                raise typer.Exit(1)
+        else:
+            export.put_files(Path(to), data, manifest)
+        keeper.landed(found, planned, time.time_ns() // 1000)
+        batches.append(manifest)
+    print_json(batches) if as_json else print_table(batches, "landed")
+
+
+@app.command()
+def reconcile(
+    exports: Annotated[list[Path], typer.Argument(help="Batches (Parquet), of any routers.")],
+    engines: Annotated[list[Path], typer.Option("--engine", help="Usage records of engines (JSON lines).")],
+    as_json: AsJson = False,
+) -> None:
+    """Exports beside the engines' own counts; exit 1 if a difference is not explained."""
+    from lifthead.ledger import export
+    from lifthead.ledger.reconcile import ConflictError, Merged, compare
+    from lifthead.standins.record import lines
+
+    merged = Merged()
+    try:
+        for path in exports:
+            merged.add(export.entries_of(path))
+        wrote = {
+            line["id"]: line["tokens"] for path in engines for line in lines(path) if line["ev"] == "wrote"
+        }
+    except (ConflictError, OSError, ValueError) as problem:
+        typer.echo(str(problem), err=True)
+        raise typer.Exit(2) from None
+    report = compare(merged, wrote)
+    sums = [
+        {
+            "period": period,
+            "tenant": tenant,
+            "reqs": each[0],
+            "prompt": each[1],
+            "answer": each[2],
+            "agree": report.agree.get(tenant, 0),
+        }
+        for (period, tenant), each in sorted(merged.sums().items())
+    ]
+    differ = [
+        {"req": d.req, "tenant": d.tenant, "ours": d.ours, "theirs": d.theirs, "why": d.why}
+        for d in report.differ
+    ]
+    if as_json:
+        print_json({"sums": sums, "differ": differ})
+    else:
+        print_table(sums, "billed")
+        print_table(differ, "differences")
+    if any(each.why in ("not explained", "an engine's count is missing") for each in report.differ):
+        raise typer.Exit(1)
+
+
+@app.command("verify")
+def verify_ledger(directory: LedgerDir = DEFAULT_LEDGER, as_json: AsJson = False) -> None:
+    """Read a whole ledger; exit 1 if entries are missing."""
+    found = _journal(directory)
+    said = {"ledger": found.name, "entries": found.book.last, "missing": found.missing}
+    print_json(said) if as_json else print_table([said], str(directory))
+    if found.missing:
+        raise typer.Exit(1)
--- a/lifthead/node/host.py
+++ b/lifthead/node/host.py
@@ -47,6 +47,7 @@
     group: str
     message: Message
 
+
 @dataclass(slots=True, eq=False)
 class Peer(hosting.Peer):
     """An engine as the node knows it."""
@@ -343,8 +344,8 @@
             if answer and answer[0].status in engines.RELEASED:
                 asked_at = asked_at or began
                 answered.set()
-            elif answer:
-                _say_once(self.peers[engine], engine, f"a release was answered with {answer[0].status}")
+            elif answer and (peer := self.peers.get(engine)):
+                _say_once(peer, engine, f"a release was answered with {answer[0].status}")
 
         async with asyncio.TaskGroup() as asking:
             tasks = []
@@ -430,7 +431,6 @@
         self._open_ids.discard(hand.message.headers[clients.ID])
         return True
 
-
     # Evidence.
 
     def _violated(self, rule: Rule, request: str, why: str) -> None:
--- a/lifthead/node/serve.py
+++ b/lifthead/node/serve.py
@@ -86,9 +86,7 @@
     log.info("%s stopped, invariant violations: %s", told.name, host.violations)
 
 
-async def read_again(
-    path: str, again: asyncio.Event, follower: Follower, door: Clients, host: Host
-) -> None:
+async def read_again(path: str, again: asyncio.Event, follower: Follower, door: Clients, host: Host) -> None:
     """A new configuration under the same path. One that can't be used leaves all as it is."""
     while True:
         await again.wait()
--- a/lifthead/standins/faults/reproductions.py
+++ b/lifthead/standins/faults/reproductions.py
@@ -118,9 +118,7 @@
         # One request may meet all three broken calls, and has no more than four attempts.
         Reproduction("half_of_a_call_arrives", begins(Fault.HALF, DECODE), served=REQUESTS - 1),
         Reproduction("half_of_a_head_arrives", begins(Fault.HALF_ANSWER, DECODE)),
-        Reproduction(
-            "holder_hangs_as_well", begins(Fault.HANG, DECODE[:1]), _holder_hangs_as_well, served=0
-        ),
+        Reproduction("holder_hangs_as_well", begins(Fault.HANG, DECODE[:1]), _holder_hangs_as_well, served=0),
         Reproduction(
             "unsafe_calls_hang", begins(Fault.HANG, DECODE), request=_with(qos=settings.UNSAFE), served=0
         ),
@@ -138,10 +136,17 @@
 }
 
 
-async def play(reproduction: Reproduction, path: Path, source: Path, seed: int = 1) -> Outcome:
-    """One run against the router of this checkout."""
+async def play(
+    reproduction: Reproduction,
+    path: Path,
+    source: Path,
+    seed: int = 1,
+    environment: dict[str, str] | None = None,
+) -> Outcome:
+    """One run against the router of this checkout, which is started in this environment besides ours."""
     path.mkdir(parents=True, exist_ok=True)
-    fleet = Fleet(path, Size(), seed, source, first_token_takes=reproduction.first_token_takes)
+    takes = reproduction.first_token_takes
+    fleet = Fleet(path, Size(), seed, source, first_token_takes=takes, environment=environment or {})
     async with fleet, asyncio.TaskGroup() as tasks:
         warming = [_with(name=f"warm{n}", prompt=prompt) for n, prompt in enumerate(_warming_prompts())]
         await _ask_many(fleet, warming, 0.0)
--- /dev/null
+++ b/lifthead/standins/faults/shim/__init__.py
@@ -0,0 +1,1 @@
+"""What a router process under test loads first: see sitecustomize.py."""
--- a/lifthead/state.py
+++ b/lifthead/state.py
@@ -158,4 +158,3 @@
     near: list["Engine"] | None = None  # readers that were asked for their load, the key's own first
     awaits: set[str] = field(default_factory=set)  # ... and have not answered yet
     unreached: list[str] = field(default_factory=list)  # zones of engines to which no connection was made
-
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -48,9 +48,7 @@
 
 
 def reset(writer):
-    writer.get_extra_info("socket").setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-    )
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.transport.abort()
 
 
