Guard: a cancelled call is over before its state is released, and one that kept it is followed by another release

Seen in review: a client that leaves while its decode call is out had the release sent before the call was closed; an engine where the call had arrived keeps the state then, and the close leaves it held with its release already answered or under way (guard.py, ended looked at RELEASED only). A call whose head came back and whose stream was spoilt did not start the time anew in the guard. Change: no release while a cancelled call is out; one that ends unconfirmed over a release leaves the state possible, to be released again; the release goes at 0.95 of the time allowed, as a router may be held up twice.

--- a/lifthead/daemon/host.py
+++ b/lifthead/daemon/host.py
@@ -35,6 +35,7 @@
 LOOK_EVERY = 0.05  # seconds between looks at running streams
 REST_WITHIN = 0.02  # seconds for the last bytes after a stream's end
 ASK_WITHIN = 1.0  # seconds that a probe may take; the module is told nothing of a lost one
+SETTLES_IN = 0.02  # seconds in which an engine sees the end of a connection that was closed
 RELEASE_WITHIN = 0.1  # seconds for the answer to a release on a kept connection, and once more on a new one
 
 
@@ -307,7 +308,7 @@
         await connection.send(sent)
         hand.guard.written(out)
         head = await connection.head()
-        hand.guard.confirmed_by(out, now(), answered=head.status != 200)
+        hand.guard.confirmed_by(out)
         report = codec.load_report(head.headers)
         if head.status != 200:
             await connection.rest()
@@ -601,6 +602,7 @@
 
     async def _ask_to_release(self, guard: RequestGuard, held: Held, attempt: str) -> None:
         """The second question goes on a connection of its own: a kept one may be silent."""
+        await asyncio.sleep(SETTLES_IN * held.settles)
         link = self.peers[held.holder].link
         for fresh in (False, True):
             asked_at = now()
--- a/lifthead/guard.py
+++ b/lifthead/guard.py
@@ -92,6 +92,7 @@
     holder: str
     since: int
     state: HeldState = HeldState.LEASED
+    settles: bool = False  # an attempt at it was just closed, which a release must not overtake
 
     @property
     def open(self) -> bool:
@@ -109,6 +110,7 @@
     send_by: int  # later than this it must not be sent
     sent_at: int
     state: AttemptState = AttemptState.CONNECTING
+    called_off: bool = False
 
     @property
     def reading(self) -> bool:
@@ -174,29 +176,37 @@
     def written(self, attempt: Attempt) -> None:
         attempt.state = AttemptState.WRITTEN
 
-    def confirmed_by(self, attempt: Attempt, now: int, answered: bool) -> None:
-        """Something came back. `answered`: it was a whole answer, after which a held state's time starts
-        anew."""
+    def confirmed_by(self, attempt: Attempt) -> None:
+        """The head of an answer came back: the attempt has arrived."""
         attempt.state = AttemptState.CONFIRMED
-        if answered and attempt.work is Work.FETCH and self.held and self.held.open:
+        if attempt.work is Work.FETCH and self.held and self.held.open:
             self._check_held(self.held, attempt.sent_at)
-            self.held.since = now
 
     def ended(self, attempt: Attempt, now: int, proven_not_run: bool) -> None:
         """It is over, and its connection is given back or closed."""
         proven_not_run = proven_not_run or attempt.state is AttemptState.CONNECTING
         if attempt.work is not Work.PREFILL and not proven_not_run:
             self.may_have_run = True
-        held, unconfirmed = self.held, attempt.state in (AttemptState.WRITING, AttemptState.WRITTEN)
-        if held and held.holder == attempt.engine and held.state is HeldState.POSSIBLE:
-            held.since = now
+        held, state = self.held, attempt.state
+        attempt.state, self.attempt = AttemptState.ENDED, None
+        if held is None:
+            return
+        if attempt.work is Work.FETCH:
+            self._fetch_ended(held, state, now)
+        elif held.holder == attempt.engine and held.state is HeldState.POSSIBLE:
+            held.since, held.settles = now, True
             if proven_not_run:
                 self.held = None
-        elif held and held.state is HeldState.RELEASED and unconfirmed and attempt.work is Work.FETCH:
-            # The call may have arrived and kept the state from being released, and now waits no more.
-            self.held = Held(held.holder, now, HeldState.POSSIBLE)
-        attempt.state = AttemptState.ENDED
-        self.attempt = None
+
+    def _fetch_ended(self, held: Held, state: AttemptState, now: int) -> None:
+        """A decode call is over, and has not begun to answer."""
+        if state is AttemptState.CONFIRMED and held.open:
+            held.since = now  # it had arrived
+        elif state in (AttemptState.WRITING, AttemptState.WRITTEN):
+            held.settles = True
+            if held.state in (HeldState.RELEASING, HeldState.RELEASED):
+                # It may have kept the state from being released, and now waits no more.
+                self.held = Held(held.holder, now, HeldState.POSSIBLE, settles=True)
 
     # The held state.
 
@@ -216,10 +226,11 @@
         self.held = None
 
     def releasable(self) -> Held | None:
-        """The state that can be released now: not while a prefill that may leave one is in flight."""
+        """The state that can be released now: not while a prefill that may leave one is in flight, nor before
+        a call that was cancelled is over."""
         if self.held is None or self.held.state not in UNCLAIMED:
             return None
-        if self.attempt and self.attempt.work is Work.PREFILL:
+        if self.attempt and (self.attempt.work is Work.PREFILL or self.attempt.called_off):
             return None
         return self.held
 
--- a/lifthead/hosting.py
+++ b/lifthead/hosting.py
@@ -50,7 +50,6 @@
 
     task: asyncio.Task | None = None
     started: bool = False
-    called_off: bool = False
 
 
 @dataclass(slots=True, eq=False, kw_only=True)
--- a/lifthead/leases.py
+++ b/lifthead/leases.py
@@ -12,8 +12,9 @@
 # Parts of the time that the settings allow a state to be held while no call has arrived. A first token takes
 # less than half of it in 95 to 98 of 100 calls (frota-ceara, quick fleet days, simulated).
 RETRY_PART = 0.5  # a call that has brought nothing by then may be given up, where it may be repeated
-LAST_CALL_PART = 0.9  # by then another engine is asked to fetch the state, if one is to be
-TOO_LATE_PART = 0.95  # no call to fetch it is begun after that
+LAST_CALL_PART = 0.88  # by then another engine is asked to fetch the state, if one is to be
+TOO_LATE_PART = 0.93  # no call to fetch it is begun after that
+RELEASE_PART = 0.95  # the release goes out: a router may have been held up before it noticed the 202
 
 
 def retry_after(allowed: int) -> int:
@@ -39,7 +40,7 @@
 
     @property
     def release_at(self) -> int:
-        return self.since + self.allowed
+        return self.since + int(RELEASE_PART * self.allowed)
 
     def outlives(self, now: int, attempt_takes: int) -> bool:
         """Whether a further attempt that takes as long to connect would end in the time allowed."""
--- a/lifthead/node/host.py
+++ b/lifthead/node/host.py
@@ -139,7 +139,7 @@
         held = hand.guard.releasable() if hand else None
         if hand is None or held is None:
             return
-        settles_in = SETTLES_IN * (held.state is HeldState.POSSIBLE)
+        settles_in = SETTLES_IN * held.settles
         reason = hand.ended or f"lease_{held.state.value}"
         self._report_event(hand, Event.RELEASING, engine=held.holder, detail=f"reason={reason}")
         held.state = HeldState.RELEASING
@@ -247,7 +247,7 @@
         self._note_event(hand, Event.CONFIRMED, out, f"status={head.status}")
         report = engines.report_with(head.headers)
         sight = engines.sight_of(head)
-        hand.guard.confirmed_by(out, now(), answered=sight is not None)
+        hand.guard.confirmed_by(out)
         if sight is Sight.STATE_GONE:
             hand.guard.state_gone()
         if sight:
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -52,7 +52,7 @@
     guard.written(one)
     states.append(one.state)
     assert not one.confirmed
-    guard.confirmed_by(one, 2, answered=False)
+    guard.confirmed_by(one)
     states.append(one.state)
     guard.ended(one, 3, proven_not_run=False)
     assert [*states, one.state] == list(AttemptState) and reported == []
@@ -165,7 +165,8 @@
     assert guard.refusal(call, 1, True, False) is Refusal.STATE_RELEASED
 
 
-def test_a_call_that_kept_its_state_from_being_released_leaves_it_when_it_is_closed(reported):
+@pytest.mark.parametrize("answered", [True, False])
+def test_a_call_that_kept_its_state_from_being_released_leaves_it_when_it_is_closed(answered, reported):
     guard = guarded(reported)
     prefilled(guard)
     call = attempt(guard, Work.FETCH, 1)
@@ -173,10 +174,23 @@
     guard.written(call)
     held = guard.releasable()
     held.state = HeldState.RELEASING
-    guard.released(held, 2)
+    if answered:  # the release's answer came before the call was closed, or it comes after
+        guard.released(held, 2)
     guard.ended(call, 1_000_000, proven_not_run=False)
     again = guard.releasable()
     assert (again.state, again.holder, again.since) == (HeldState.POSSIBLE, "p", 1_000_000)
+    assert again.settles and again is not held
+
+
+def test_a_state_is_not_released_before_a_call_that_was_cancelled_is_over(reported):
+    guard = guarded(reported)
+    prefilled(guard)
+    call = attempt(guard, Work.FETCH, 1)
+    guard.writing(call, 1)
+    call.called_off = True
+    assert guard.releasable() is None
+    guard.ended(call, 2, proven_not_run=False)
+    assert guard.releasable().settles
 
 
 def test_an_answer_to_a_call_starts_the_clock_anew(reported):
@@ -184,7 +198,7 @@
     prefilled(guard)
     call = attempt(guard, Work.FETCH, 1)
     guard.writing(call, 200_000)
-    guard.confirmed_by(call, 900_000, answered=True)
+    guard.confirmed_by(call)
     guard.ended(call, 900_000, proven_not_run=True)
     assert guard.held.since == 900_000 and not guard.overdue(900_000 + ALLOWED) and reported == []
 
