A silent call is waited for longer where its engine has answered others since

Change: control.py, _on_lease: where the engine has been heard of since the call was sent, and the connection was new, the call is given up only four times as late; hosts tell which connections were reused (on_written).

--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -46,6 +46,7 @@
 READ_MEMORY = 4 * ENOUGH * THRESHOLD  # tokens of reads after which older ones count half
 FORGET = 16  # windows after which paces count half
 OVERDUE = 2.0  # a decode call is overdue after this many times what nine in ten such calls take
+ALIVE_TIMES = 4  # ... and so many times later, where its engine has answered others since
 PATIENCE = 5.0  # an engine may be silent for this many times what nine in ten such forwards take
 TRIAL_AFTER = 1_000_000  # a suspect's first trial; twice as long after each further strike
 TRIAL_LIMIT = 8_000_000
@@ -273,6 +274,12 @@
         writer = self._draw(req, zone, holder.cell, reads=False)
         return self._forward(req, writer, "fetch") if writer else self._give_up(req)
 
+    def on_written(self, req_id: int, number: int, reused: bool) -> None:
+        """A forward is written whole. `reused`: on a connection that was used before and may be silent."""
+        req = self.reqs.get(req_id)
+        if req and req.out and req.out.number == number:
+            req.out.reused = reused
+
     def on_begun(self, req_id: int, number: int, took: int, streamed: bool = True) -> None:
         """The answer streams: it has no deadline any more, and weighs until it ends. One that is gathered for
         a client who wants it whole keeps its deadline, and may be begun anew."""
@@ -413,8 +420,15 @@
             self._release(req)
         elif req.lease:
             self._look_at_lease(req, req.lease.release_at)
-        if req.out and not req.out.written_off and now >= req.out.overdue_at:
-            self._give_up_call(req, req.out, now)
+        call = req.out
+        if call is None or call.written_off or now < call.overdue_at:
+            return
+        if not call.reused and call.engine.heard_at >= call.sent_at:
+            # An engine that answered others since is well, and the call most likely waits in its queue.
+            patient_until = call.sent_at + ALIVE_TIMES * (call.overdue_at - call.sent_at)
+            if now < patient_until:
+                return self._look_at_lease(req, patient_until)
+        self._give_up_call(req, call, now)
 
     def _give_up_call(self, req: Req, call: Forward, now: int) -> None:
         """A call that may run only once stays out, as it may have arrived; so does one that no other engine
--- a/lifthead/daemon/host.py
+++ b/lifthead/daemon/host.py
@@ -307,6 +307,7 @@
             hand.held_by = name
         await connection.send(sent)
         hand.guard.written(out)
+        self.router.on_written(hand.id, out.number, connection.uses > 0)
         head = await connection.head()
         hand.guard.confirmed_by(out)
         report = codec.load_report(head.headers)
--- a/lifthead/node/host.py
+++ b/lifthead/node/host.py
@@ -241,6 +241,7 @@
         self._note_event(hand, Event.WRITING, out, str(connection))
         await connection.send(engines.forward(hand.message, due_at - out.sent_at))
         hand.guard.written(out)
+        self.router.on_written(hand.id, out.number, connection.uses > 0)
         self._note_event(hand, Event.WRITTEN, out)
         head = await connection.head()
         peer.heard_at = now()
--- a/lifthead/state.py
+++ b/lifthead/state.py
@@ -60,6 +60,7 @@
     target: int  # the req's response target
     told: bool = False  # the engine's own word was part of that backlog
     written_off: bool = False  # lost, or at an engine that was found silent
+    reused: bool = False  # it went out on a connection that was used before
     overdue_at: int = 1 << 62  # a decode call that has brought nothing by then may be given up
     begun: bool = False
     first_took: int = 0  # from the sending to the end of the read or the first token
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -4,6 +4,7 @@
 from helpers import Bench, entry, report
 
 from lifthead import control
+from lifthead.control import LEASE
 from lifthead.interface import Ending
 
 CELL = [entry("R1"), entry("R2"), entry("W1"), entry("W2")]
@@ -958,3 +959,90 @@
     bench.begin(req_id)
     bench.end(req_id, Ending.DONE)
     assert req_id not in bench.router.reqs and bench.answers(req_id) == []
+
+
+# Held states and decode calls that bring nothing.
+
+LEASE_TIME = 300_000  # of the deployment's settings
+
+
+def silent_call(bench, **how):
+    """A request whose decode call has been written, and nothing has come back; the engine that it is at."""
+    req = bench.req(5000, **how)
+    bench.end(req, Ending.READ)
+    return req, bench.last(req)
+
+
+def look(bench, after):
+    """So many microseconds later the timers of held states and calls ring."""
+    bench.clock += after
+    for label in sorted({call[2] for call in bench.calls("wake") if call[2] & 3 == LEASE and call[2] > 3}):
+        bench.router.on_wake(label)
+
+
+def four_writers():
+    return Bench(entry("R1"), *(entry(f"W{n}") for n in range(4)))
+
+
+def test_a_call_that_brings_nothing_is_given_up_at_half_of_the_lease_and_the_state_is_kept():
+    bench = four_writers()
+    req, first = silent_call(bench)
+    look(bench, LEASE_TIME // 2 - 1000)
+    assert bench.calls("cancel") == []
+    look(bench, 1000)
+    assert bench.calls("cancel") == [("cancel", req, 1)] and bench.calls("free_state") == []
+    bench.end(req, Ending.CANCELLED)
+    assert bench.last(req)[0] == "W" and bench.last(req) != first
+
+
+def test_a_state_is_released_at_the_end_of_its_lease_whatever_is_in_flight():
+    bench = four_writers()
+    req, _ = silent_call(bench, group="pay")
+    look(bench, LEASE_TIME)
+    assert bench.calls("free_state") == [("free_state", req)]
+    assert bench.calls("cancel") == [] and len(bench.sent[req]) == 2  # it may have run
+
+
+@pytest.mark.parametrize(("reused", "given_up"), [(False, False), (True, True)])
+def test_an_engine_that_answered_others_since_is_waited_for_unless_the_connection_rested(reused, given_up):
+    bench = four_writers()
+    req, at = silent_call(bench)
+    bench.router.on_written(req, 1, reused)
+    bench.clock += 1000
+    bench.router.engines[at].heard_at = bench.clock
+    look(bench, LEASE_TIME // 2)
+    assert (bench.calls("cancel") != []) == given_up
+    look(bench, 4 * LEASE_TIME // 2)  # but not for ever
+    assert bench.calls("cancel")[0] == ("cancel", req, 1)
+
+
+def test_a_call_that_no_other_engine_could_take_is_waited_for():
+    bench = Bench(entry("R1"), entry("W1"))
+    silent_call(bench)
+    look(bench, LEASE_TIME)
+    assert bench.calls("cancel") == []
+
+
+def test_the_last_attempt_is_waited_for_and_read_where_it_is_decoded():
+    bench = Bench(entry("R1"), *(entry(f"W{n}") for n in range(6)), max_forwards=3)
+    req, _ = silent_call(bench)
+    look(bench, LEASE_TIME // 2)
+    look(bench, LEASE_TIME // 2)  # the state is released
+    bench.end(req, Ending.CANCELLED)
+    assert [engine[0] for engine in bench.sent[req]] == ["R", "W", "W"]
+    look(bench, 10 * LEASE_TIME)
+    assert len(bench.calls("cancel")) == 1
+
+
+def test_an_answer_to_a_call_starts_the_lease_anew_and_a_broken_connection_does_not():
+    bench = four_writers()
+    req, _ = silent_call(bench)
+    bench.clock += 140_000
+    bench.end(req, Ending.BROKEN, took=140_000)
+    look(bench, 100_000)
+    assert bench.calls("free_state") == []
+    bench.end(req, Ending.BUSY)
+    look(bench, 100_000)
+    assert bench.calls("free_state") == []
+    look(bench, LEASE_TIME)
+    assert bench.calls("free_state")[0] == ("free_state", req)
