--- a/lifthead/guard.py
+++ b/lifthead/guard.py
@@ -214,16 +214,19 @@
         self.held = Held(holder, now)
 
     def fetched(self, attempt: Attempt) -> None:
-        """The first token came: nothing is held any more."""
+        """The first token came: the state that it was to fetch is held no more. One that was to be released
+        before still is."""
         self.begun = True
-        if self.held:
+        if self.held and attempt.work is Work.FETCH:
             if self.held.open:
                 self._check_held(self.held, attempt.sent_at)
             self.held.state = HeldState.FETCHED
 
     def state_gone(self) -> None:
-        """The engine that was asked to fetch it says that there is none."""
-        self.held = None
+        """The engine that was asked to fetch it says that there is none. Its holder may only be cut off or
+        held up, and hold it still."""
+        if self.held and self.held.open:
+            self.held.state = HeldState.POSSIBLE
 
     def releasable(self) -> Held | None:
         """The state that can be released now: not while a prefill that may leave one is in flight, nor before
--- a/lifthead/standins/faults/fleet.py
+++ b/lifthead/standins/faults/fleet.py
@@ -13,13 +13,13 @@
 from pathlib import Path
 
 from lifthead.standins.faults import settings
+from lifthead.standins.faults.checker import DISCOVERY
 from lifthead.standins.faults.discovery import Discovery, Listed, unix_ms
 from lifthead.standins.faults.engine import EngineSpec
 from lifthead.standins.faults.proxy import Fault, FaultProxy
 from lifthead.standins.record import Record, lines
 
 READY_WITHIN = 30.0  # seconds for a process to start
-DISCOVERY = "discovery"
 FIRST_PORT, PORTS = 12_000, 20_000
 _numbers = itertools.count(os.getpid() * 211)
 READY = b"GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
--- a/lifthead/standins/faults/schedule.py
+++ b/lifthead/standins/faults/schedule.py
@@ -9,8 +9,9 @@
 from enum import Enum
 
 from lifthead.standins.faults import settings
+from lifthead.standins.faults.checker import DISCOVERY
 from lifthead.standins.faults.clients import Request
-from lifthead.standins.faults.fleet import DISCOVERY, Size
+from lifthead.standins.faults.fleet import Size
 from lifthead.standins.faults.proxy import Fault
 
 REQUESTS_PER_S = 12.0
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -207,3 +207,14 @@
     violations = Violations(lambda *_: None)
     violations.add(Rule.DRAIN, "r", "why")
     assert str(violations) == "final_answer=0 single_effect=0 drain=1 slow_start=0 held_state=0"
+
+
+def test_a_prompt_that_was_read_anew_says_nothing_of_a_state_that_is_being_released(reported):
+    guard = guarded(reported)
+    prefilled(guard)
+    held = guard.releasable()
+    held.state = HeldState.RELEASING
+    whole = attempt(guard, Work.WHOLE, 1)
+    guard.writing(whole, 900_000)
+    guard.fetched(whole)
+    assert reported == [] and held.state is HeldState.RELEASING
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -137,6 +137,8 @@
     rd, wr = Releases([HAS_READ]), Engine([answer], [STREAM])
     status, broken = played(play, rd=rd, wr=wr)
     assert broken == 0 and status in (200, 503)
+    # 410 does not prove that nothing is held: its holder may be cut off from that engine alone.
+    assert answer is NO_MARK or len(rd.released_at) == 1
 
 
 def test_a_kept_connection_that_fell_silent_is_asked_before_a_prefill_goes_on_it():
