A client's connection that fails in any way the system words it is over, without a trace of ours

Seen in tests/test_system_calls.py (send ENOBUFS, EHOSTUNREACH; receive EHOSTUNREACH on a client's connection): a traceback 'a client's connection' in the log. chat/server.py caught ConnectionError and TimeoutError alone at three places; all of OSError now. Stand-in engines: a stopped prefill engine no longer slows the answers of the others, nor is a state that it holds taken for none.

--- a/lifthead/chat/server.py
+++ b/lifthead/chat/server.py
@@ -50,7 +50,7 @@
         except TimeoutError:
             if transport.get_write_buffer_size() >= left:
                 return transport.abort()
-        except ConnectionError:
+        except OSError:
             return  # the watch sees it
 
 
@@ -277,7 +277,7 @@
         self._open.add(writer)
         try:
             await self._talk(reader, writer)
-        except (ConnectionError, TimeoutError):
+        except OSError:  # however the system words it
             pass
         finally:
             try:
@@ -381,7 +381,7 @@
         early is parsed, up to a bound, and waits its turn; what comes past that, or can't be read, is thrown
         away. A client that closes its sending side counts as gone."""
         early, loop = 0, asyncio.get_running_loop()
-        with contextlib.suppress(ConnectionError):
+        with contextlib.suppress(OSError):
             while data := await reader.read(READ):
                 early += len(data)
                 if early > EARLY_BYTES:
--- a/lifthead/standins/faults/engine.py
+++ b/lifthead/standins/faults/engine.py
@@ -20,7 +20,8 @@
 TRACE = "x-trace-id"
 RELEASE_PATH = "/bootstrap/rooms/"
 INTERNAL = "/internal/"
-PEER_WITHIN = 0.1  # seconds for another engine's answer: one that is stopped must not slow the others
+PEER_WITHIN = 0.3  # seconds for another engine's answer
+PASSED_ON_WITHIN = 0.05  # seconds that the answer to a release waits for the engines that it is passed on to
 EVENTS = 4  # of an answer
 EVENT_EVERY = 0.02  # seconds
 TOKEN = b'data: {"choices":[{"index":0,"delta":{"content":"oqvh"},"finish_reason":null}]}\n\n'
@@ -48,6 +49,7 @@
 class Engine:
     spec: EngineSpec
     record: Record
+    tasks: asyncio.TaskGroup
     held: dict[str, int] = field(default_factory=dict)  # request -> decode calls that wait for its state
     read: set[str] = field(default_factory=set)  # requests whose prompt was ever read here
 
@@ -107,14 +109,14 @@
 
     async def _decode(self, server: Server, asked: Asked, request: str, port: int) -> bool:
         known = await self._ask_peers("wait", request)
-        if known and "held" not in known:
+        if known == "gone":
             server.whole(410, b"", {"x-never-ran": "1"})
             return True
         if not await self._pause(asked, self.spec.first_token_takes * self.chance.uniform(0.5, 1.5)):
             if known:
                 await self._ask_peers("leave", request)
             return False
-        if known and "taken" not in await self._ask_peers("take", request):
+        if known and await self._ask_peers("take", request) != "taken":
             server.whole(410, b"", {"x-never-ran": "1"})
             return True
         self.put("ran", request, qos=asked.headers.get("x-qos", ""))
@@ -128,15 +130,26 @@
         return True
 
     async def _release(self, request: str) -> None:
+        """A prefill engine that is stopped takes it later; the answer does not wait for that."""
         self.put("release_arrived", request)
-        await self._ask_peers("release", request)
-
-    async def _ask_peers(self, what: str, request: str) -> list[str]:
-        """What the prefill engines that know the request say; one that does not answer says nothing."""
-        answers = await asyncio.gather(
-            *(self._ask_peer(port, what, request) for port in self.spec.peers.values())
-        )
-        return [answer for answer in answers if answer]
+        asked = [
+            self.tasks.create_task(self._ask_peer(port, "release", request))
+            for port in self.spec.peers.values()
+        ]
+        await asyncio.wait(asked, timeout=PASSED_ON_WITHIN)
+
+    async def _ask_peers(self, what: str, request: str) -> str:
+        """What the prefill engine says that holds the state; else "gone" if one has held it, or ""."""
+        found = ""
+        asked = [
+            self.tasks.create_task(self._ask_peer(port, what, request)) for port in self.spec.peers.values()
+        ]
+        for answered in asyncio.as_completed(asked):
+            answer = await answered
+            if answer not in ("", "gone"):
+                return answer
+            found = found or answer
+        return found
 
     async def _ask_peer(self, port: int, what: str, request: str) -> str:
         with contextlib.suppress(OSError, TimeoutError):
@@ -165,10 +178,10 @@
 
 async def serve(spec: EngineSpec) -> None:
     """Serves until the process is ended."""
-    engine = Engine(spec, Record(spec.record))
-    server = await asyncio.start_server(engine.connection, "127.0.0.1", spec.port, backlog=512)
-    print("ready", flush=True)
-    async with server:
+    async with asyncio.TaskGroup() as tasks:
+        engine = Engine(spec, Record(spec.record), tasks)
+        server = await asyncio.start_server(engine.connection, "127.0.0.1", spec.port, backlog=512)
+        print("ready", flush=True)
         await server.serve_forever()
 
 
