Leases and silent calls only where what is sent may be lost without a word: not in the simulator

The simulator's wire tells of each send that does not arrive, so a decode call there is never silent, only slow, and giving it up loses its place. Change: Deployment.silent_losses, False from the simulator's adapter alone; control.py looks at leases and overdue calls only where it holds. On sockets nothing changes.

--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -112,6 +112,7 @@
         self.groups, self.roles, self.memory = deployment.groups, deployment.roles, deployment.memory
         self.writers_read, self.max_forwards = deployment.writers_read, deployment.max_forwards
         self.let_go_by, self.may_cancel = deployment.let_go_by, deployment.may_cancel
+        self.silent_losses = deployment.silent_losses and self.let_go_by > 0
         self.probes = deployment.reports_on_probe and deployment.may_probe
         self.hold_off = deployment.max_hold_off if deployment.may_hold_off else 0
         self.window, self.warm_within = max(deployment.overload_for, 1), deployment.warm_within
@@ -244,7 +245,7 @@
         self._settle()
         if req.forwards >= self.max_forwards or now + self.tick >= req.due_at:
             return self._give_up(req)
-        if req.lease and req.lease.allowed and now >= req.lease.too_late_at:
+        if req.lease and self.silent_losses and now >= req.lease.too_late_at:
             self._release(req)
         if req.lease is None:
             # Exception, a last attempt: after a prefill nobody could be asked to decode.
@@ -403,7 +404,7 @@
     def _lease(self, req: Req, holder: Engine) -> None:
         """A state waits for the request from now on."""
         req.lease = Lease(holder, self.host.now(), self.let_go_by)
-        if self.let_go_by:
+        if self.silent_losses:
             self._look_at_lease(req, req.lease.release_at)
 
     def _look_at_lease(self, req: Req, at: int) -> None:
@@ -451,7 +452,7 @@
         that has given up a call before, while others answered, hurries, so that a third engine can fetch
         the state."""
         least, pace = retry_after(self.let_go_by), self.pace["fetch"]
-        if not least or req.forwards + 1 >= self.max_forwards:
+        if not self.silent_losses or req.forwards + 1 >= self.max_forwards:
             return NEVER
         measured = pace.total >= ENOUGH
         usual = pace.quantile(0.9) * (call.backlog + OVERHEAD) / 1000 if measured else 0
--- a/lifthead/interface.py
+++ b/lifthead/interface.py
@@ -86,6 +86,7 @@
     reports_on_probe: bool
     must_ask: bool  # news of engines comes only when asked for
     ask_within: int
+    silent_losses: bool = True  # what is sent may never arrive without a word; the simulator tells of each
 
 
 @dataclass(frozen=True, slots=True)
--- a/lifthead/simhost/serve.py
+++ b/lifthead/simhost/serve.py
@@ -1,5 +1,6 @@
 """Reads batches, calls the module's instances, and writes what they do."""
 
+from dataclasses import replace
 from typing import TextIO
 
 from lifthead.control import Router
@@ -56,7 +57,7 @@
         number = required(fields, "Router")
         if name == "INIT":
             host = WireHost(number, self.clock, self.reply)
-            self.routers[number] = Router(host, deployment_of(fields))
+            self.routers[number] = Router(host, replace(deployment_of(fields), silent_losses=False))
             return
         router = self.routers.get(number)
         if router is None:
--- a/lifthead/standins/faults/engine.py
+++ b/lifthead/standins/faults/engine.py
@@ -109,6 +109,8 @@
 
     async def _decode(self, server: Server, asked: Asked, request: str, port: int) -> bool:
         known = await self._ask_peers("wait", request)
+        if known == "held":
+            self.put("waiting", request, port=port)
         if known == "gone":
             server.whole(410, b"", {"x-never-ran": "1"})
             return True
