--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -422,7 +422,7 @@
         elif req.lease:
             self._look_at_lease(req, req.lease.release_at)
         call = req.out
-        if call is None or call.written_off or now < call.overdue_at:
+        if call is None or call.begun or call.written_off or now < call.overdue_at:
             return
         if not call.reused and call.engine.heard_at >= call.sent_at:
             # An engine that answered others since is well, and the call most likely waits in its queue.
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1046,3 +1046,11 @@
     assert bench.calls("free_state") == []
     look(bench, LEASE_TIME)
     assert bench.calls("free_state")[0] == ("free_state", req)
+
+
+def test_a_call_whose_answer_is_gathered_has_begun_and_is_not_given_up():
+    bench = four_writers()
+    req, _ = silent_call(bench)
+    bench.router.on_begun(req, 1, 50_000, streamed=False)
+    look(bench, 10 * LEASE_TIME)
+    assert bench.calls("cancel") == [] and bench.calls("free_state") == []
