--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: no disruption.
+here=$(CDPATH= cd -- "$(dirname -- "$0")" && pwd) || exit 2
+cd "$here/../.." || exit 2
+test -x .venv/bin/python || exit 2
+exec .venv/bin/python -B "$here/test.py"
