--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -30,6 +30,7 @@
     b'"prompt_tokens_details":{"cached_tokens":0}}}\n\n'
 )
 DONE = b"data: [DONE]\n\n"
+REPORT = b"TEXT inflight=1, queue=0, x0=0.1, x1=0.2"
 
 
 def settings(**changes):
@@ -67,6 +68,33 @@
     } | changes  # fmt: skip
 
 
+RECIFE_ZONE, RECIFE_CLASS, RECIFE_DEADLINE = "boa-vista", "balcao", 5.0
+
+
+def recife():
+    """What the site frota-recife sets otherwise: every answer of an engine carries its load report."""
+    base = settings()
+    return {
+        "Dcs": ["boa-vista", "imbiribeira", "jaboatao"], "Zone": RECIFE_ZONE,
+        "FamilyInfo": base["FamilyInfo"] | {
+            "AimUsPer1000PromptTokens": [40000.0, 120000.0], "KvTokens": [220000, 120000], "LetGoBy": 500000,
+            "MoveFee": 0.06, "Resume": True,
+        },
+        "Grades": [
+            {"Name": RECIFE_CLASS, "Effect": "safe", "Group": "all", "KeyTtl": 5000000, "Stream": True,
+             "Target": 1200000, "Deadline": int(RECIFE_DEADLINE * 1e6), "Worth": 1.0, "LateWorth": 0.1},
+            {"Name": "extrato", "Effect": "safe", "Group": "all", "KeyTtl": 5000000, "Stream": True,
+             "Target": 2500000, "Deadline": 12000000, "Worth": 2.0, "LateWorth": 0.3},
+        ],
+        "LoadInfo": {"Columns": ["rif", "q", "x0", "x1"], "Via": "inline"},
+        "PolicyLimits": base["PolicyLimits"] | {"MaxAttempts": 5, "MaxRetryAfter": 500000},
+        "Rules": base["Rules"] | {
+            "ColdShare": 0.25, "OverloadFor": 1500000, "StopSendingWithin": 250000, "WarmWithin": 14000000,
+        },
+        "Stages": ["assistente-nos"],
+    }  # fmt: skip
+
+
 class Record:
     """Writes what was sent, answered and run, one event a line, with seconds since the start."""
 
@@ -102,7 +130,8 @@
 
     `on_request` may answer a request itself: an async function of (engine, headers, body, writer) that
     returns None if the engine is to answer as usual, else whether the connection can serve another request.
-    `last_comment` returns the comment line, if any, that ends the next stream."""
+    `last_comment` returns the comment line that ends the next stream. Where it is set, a 202 carries a load
+    report as well."""
 
     def __init__(self, name, kind, states, record, read_takes=0.02, first_token=0.02, between=0.01):
         self.name, self.kind, self.states, self.record = name, kind, states, record
@@ -133,10 +162,9 @@
             writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
             return True
         if method == "GET":
-            report = b"TEXT inflight=1, queue=0, x0=0.1, x1=0.2"
             writer.write(
                 b"HTTP/1.1 200 OK\r\nEndpoint-Load-Metrics: %b\r\nContent-Length: %d\r\n\r\n%b"
-                % (report, len(report), report)
+                % (REPORT, len(REPORT), REPORT)
             )
             return True
         request_id = headers.get("x-trace-id", "")
@@ -154,7 +182,10 @@
             if writer.transport.is_closing():
                 return False
             self.states[request_id] = self.name
-            writer.write(b'HTTP/1.1 202 Accepted\r\nContent-Length: 19\r\n\r\n{"cached_tokens":0}')
+            report = b"Endpoint-Load-Metrics: %b\r\n" % REPORT if self.last_comment else b""
+            writer.write(
+                b'HTTP/1.1 202 Accepted\r\n%bContent-Length: 19\r\n\r\n{"cached_tokens":0}' % report
+            )
             self.record.put("engine-read", engine=self.name, id=request_id)
             return True
         had_state = self.states.pop(request_id, None) is not None
@@ -187,8 +218,8 @@
 class Discovery:
     """Sends the whole list to each watch, again at each change, and an empty line every 2 s."""
 
-    def __init__(self, engines, record):
-        self.engines, self.record, self.rev, self.open = engines, record, 1, set()
+    def __init__(self, engines, record, zone):
+        self.engines, self.record, self.zone, self.rev, self.open = engines, record, zone, 1, set()
         self.changed = asyncio.Event()
         self.send = self.send_at_once
 
@@ -198,7 +229,7 @@
 
     def list(self):
         return {"rev": self.rev, "all": True, "targets": [
-            {"uid": e.name, "endpoint": e.address, "az": "fortaleza-aldeota", "model": e.kind,
+            {"uid": e.name, "endpoint": e.address, "az": self.zone, "model": e.kind,
              "pod_group": 0, "state": e.state, "capacity_hint": 1.0, "boot_ms": 0}
             for e in self.engines
         ]}  # fmt: skip
@@ -390,7 +421,8 @@
         self.engines = self.prefill + self.decode
         for engine in self.engines:
             await engine.start()
-        self.discovery = Discovery(self.engines, self.record)
+        zone = self.options.get("Zone") or settings()["Zone"]
+        self.discovery = Discovery(self.engines, self.record, zone)
         await self.discovery.start()
         self.router = Router(self.scratch, self.discovery.address, self.record, **self.options)
         try:
@@ -410,10 +442,10 @@
             self.record.put("log", text=line[:200])
         shutil.rmtree(self.scratch, ignore_errors=True)
 
-    async def warm_up(self, count=8):
+    async def warm_up(self, count=8, **options):
         """Some usual requests one after the other. Returns whether all were served."""
         return all([
-            (await ask(self.router.address, f"warm{n}", self.record))[:2] == (200, "whole")
+            (await ask(self.router.address, f"warm{n}", self.record, **options))[:2] == (200, "whole")
             for n in range(count)
         ])  # fmt: skip
 
