--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -9,6 +9,7 @@
 import contextlib
 import json
 import os
+import re
 import resource
 import shutil
 import signal
@@ -439,7 +440,7 @@
         tail = self.router.log().splitlines()[-40:]
         self.record.put("router-log-tail", lines=len(tail))
         for line in tail:
-            self.record.put("log", text=line[:200])
+            self.record.put("log", text=re.sub(r'"/[^"]*/([^"/]+)"', r'"\1"', line)[:200])
         shutil.rmtree(self.scratch, ignore_errors=True)
 
     async def warm_up(self, count=8, **options):
