--- a/review/1/test.py
+++ b/review/1/test.py
@@ -39,7 +39,7 @@
         try:
             tokens = HUGE if TROUBLE else 500
             writer.write(encode_request(f"bad{sent}", max_tokens=tokens, properties="prompt_len=300"))
-            case.record.put("bad-client-sent", id=f"bad{sent}")
+            case.record.put("bad-client-sent", id=f"bad{sent}", digits_of_max_tokens=len(str(tokens)))
             async with asyncio.timeout(10):
                 answer = await read_answer(reader)
             outcomes[answer] += 1
--- a/review/3/test.py
+++ b/review/3/test.py
@@ -87,6 +87,7 @@
                        f"connection: {took or 'not spoilt'}")  # fmt: skip
             broken += not fine
         after = await ask(case.router.address, "after", record)
+        await asyncio.sleep(3 * PAUSE)  # the engines see the closes that the clients' own ends bring
         record.say(f"streams: {STREAMS}, rule broken: {broken}; a request afterwards: {after[:2]}")
         return BROKEN if broken else HELD
 
