Numbers from outside have a bound: one client's 10^400 tokens cost all others their answer

Cause: node/clients.py took max_tokens in any size, control.py summed it into a decode engine's reserved tokens, and _utilization divides that by the memory: OverflowError for each request that looks at the engine. Change: lifthead/bounds.py; each codec bounds counts of tokens, load figures, versions, times and settings as it parses them.

--- a/lifthead/chat/codec.py
+++ b/lifthead/chat/codec.py
@@ -7,11 +7,13 @@
 import msgspec
 from msgspec import Meta
 
+from lifthead.bounds import MAX_TOKENS
 from lifthead.chat.length import estimate_tokens
 from lifthead.deployment.fleet import Fleet
-from lifthead.http1 import Headers, Message
+from lifthead.http1 import Headers, HttpError, Message
 
 DEFAULT_MAX_ANSWER_TOKENS = 1024  # assumed for load estimates if the client sets no limit
+MAX_TOOL_CALLS = 1024  # in one answer
 
 
 class BadRequestError(Exception):
@@ -36,8 +38,8 @@
     messages: Annotated[list[_ChatMessage], Meta(min_length=1)]
     stream: bool | None = None
     stream_options: _StreamOptions | None = None
-    max_tokens: Annotated[int, Meta(ge=1)] | None = None
-    max_completion_tokens: Annotated[int, Meta(ge=1)] | None = None
+    max_tokens: Annotated[int, Meta(ge=1, le=MAX_TOKENS)] | None = None
+    max_completion_tokens: Annotated[int, Meta(ge=1, le=MAX_TOKENS)] | None = None
     prompt_cache_key: str | None = None
     user: str | None = None
     stop: str | list[str] | None = None
@@ -246,6 +248,8 @@
                 calls = message.setdefault("tool_calls", [])
                 for call in value or ():
                     index = call.get("index", 0)
+                    if not 0 <= index < MAX_TOOL_CALLS:
+                        raise HttpError(502, f"a tool call has the index {index!r:.20}")
                     while len(calls) <= index:
                         calls.append(
                             {"id": None, "type": "function", "function": {"name": "", "arguments": ""}}
--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -1011,7 +1011,7 @@
     def _send(self, request: Request, engine: Engine, work: str) -> None:
         now = self.host.now()
         uncached = 0 if work == "decode" else self._uncached_tokens(engine, request)
-        reserved = 0 if work == "prefill" else request.prompt_tokens + request.spec.max_output_tokens
+        reserved = 0 if work == "prefill" else self._reserved_by(request, engine)
         backlog = request.prompt_tokens if work == "decode" else self._tokens_ahead(engine, uncached, work)
         repeatable = request.idempotency is not Idempotency.NON_IDEMPOTENT
         attempt = Attempt(
@@ -1032,6 +1032,10 @@
         self.host.start_attempt(request.spec.id, engine.name, request.deadline, request.repeat_until)
         self._probe_nearby(engine)
 
+    def _reserved_by(self, request: Request, engine: Engine) -> int:
+        """Tokens that a request may come to hold at a decode engine, which is all of its memory at most."""
+        return min(request.prompt_tokens + request.spec.max_output_tokens, engine.memory or NEVER)
+
     def _probe_nearby(self, engine: Engine) -> None:
         """Probes the engine and some others of its zone for later requests, so that the number of probes
         grows with the requests and not with routers times engines."""
--- a/lifthead/daemon/host.py
+++ b/lifthead/daemon/host.py
@@ -405,7 +405,7 @@
 
     def _count_tokens(self, pending: PendingChatRequest, events: codec.EventStream, whole: bool) -> None:
         """Counts the answer tokens of a completed stream: as its engine reports, else by its events."""
-        reported = events.usage.completion_tokens if events.usage else 0
+        reported = codec.completion_tokens(events.usage)
         streamed = (
             events.tokens if whole else pending.answer_so_far.parse().tokens - pending.tokens_before_resume
         )
--- a/lifthead/engines/codec.py
+++ b/lifthead/engines/codec.py
@@ -7,16 +7,19 @@
 
 import math
 from enum import Enum
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
+from msgspec import Meta
 
 from lifthead import http1
+from lifthead.bounds import MAX_INT64, is_valid_load_figure, valid_token_count
 from lifthead.http1 import Headers, Message
 from lifthead.interface import AttemptOutcome, LoadReport
 
 NOT_RUN = "x-lifthead-not-run"  # protocol extension: "1" on the rejection of work that was not started
 CONTINUES_AT = "x-lifthead-continues-at"  # extension: characters of the answer so far that it takes as given
+MAX_DIGITS = 9  # of a number in a header
 NO_STATE = "no-state"  # the other value of NOT_RUN: there was no held state to fetch
 
 
@@ -177,7 +180,12 @@
 def cached_tokens(usage: _Usage | None) -> int:
     """Prompt tokens that were in the engine's prefix cache; 0 if the usage doesn't say."""
     details = usage.prompt_tokens_details if usage else None
-    return max(details.cached_tokens or 0, 0) if details else 0
+    return valid_token_count(details.cached_tokens or 0) if details else 0
+
+
+def completion_tokens(usage: _Usage | None) -> int:
+    """Tokens of the answer; 0 if the usage doesn't say."""
+    return valid_token_count(usage.completion_tokens) if usage else 0
 
 
 def error_observation(message: Message) -> Observation:
@@ -269,7 +277,7 @@
     value = headers.get(CONTINUES_AT)
     if value is None:
         return None
-    if not value.isdecimal():
+    if not (value.isdecimal() and len(value) <= MAX_DIGITS):
         raise ProtocolError(f"{CONTINUES_AT}: {value!r:.40}")
     return int(value)
 
@@ -311,7 +319,7 @@
 
 
 def _valid_figure(value: float | None) -> float | None:
-    return value if value is not None and math.isfinite(value) and value >= 0 else None
+    return value if value is not None and is_valid_load_figure(value) else None
 
 
 def _parse_text_load(text: str) -> _Load:
@@ -327,6 +335,9 @@
     return load
 
 
+WallClock = Annotated[int, Meta(ge=-MAX_INT64, le=MAX_INT64)]  # microseconds
+
+
 class ListedEngine(msgspec.Struct, frozen=True):
     """One engine of the engine list, as the list service pushes it."""
 
@@ -336,9 +347,9 @@
     cell: int
     kind: str
     weight: float = 1.0
-    started_at: int = 0  # wall clock, microseconds; 0: long ago
+    started_at: WallClock = 0  # 0: long ago
     readiness: str = "ready"
-    drains_by: int = 0  # deadline of a drain, wall clock, microseconds; 0 if it has none
+    drains_by: WallClock = 0  # deadline of a drain; 0 if it has none
 
 
 class ListUpdate(msgspec.Struct, frozen=True):
--- a/lifthead/instance_settings.py
+++ b/lifthead/instance_settings.py
@@ -23,6 +23,8 @@
 # Whether the list of engines comes only on request.
 LIST_ON_REQUEST = {"pushed": False, "on_request": True}
 
+MAX_INT = (1 << 64) - 1  # the widest field, a seed, has 64 bits
+
 Fields = dict[str, str]
 
 
@@ -37,9 +39,12 @@
             raise MalformedError(f"{key} is missing")
         return default
     try:
-        return int(text) if text.lstrip("-").isdigit() else int(float(text))
+        value = int(text) if text.lstrip("-").isdigit() else int(float(text))
     except (ValueError, OverflowError):
         raise MalformedError(f"{key}={text[:40]} is not a number") from None
+    if not -MAX_INT <= value <= MAX_INT:
+        raise MalformedError(f"{key}={text[:40]} is out of bounds")
+    return value
 
 
 def float_field(fields: Fields, key: str, default: float) -> float:
--- a/lifthead/node/clients.py
+++ b/lifthead/node/clients.py
@@ -4,9 +4,12 @@
 """
 
 import re
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 
+from lifthead.bounds import MAX_TOKENS
 from lifthead.http1 import Headers, HttpError, Message
 from lifthead.interface import RequestClass, RequestSpec
 
@@ -24,7 +27,7 @@
 CHARS_PER_TOKEN = 4  # to estimate the length of a prompt whose client doesn't say it
 
 _match_id = re.compile(r"[0-9A-Za-z_-]{1,64}").fullmatch
-_match_number = re.compile(r"[0-9]{1,9}").fullmatch
+_match_number = re.compile(r"[0-9]{1,9}").fullmatch  # up to MAX_TOKENS
 JSON_HEADERS = {"content-type": "application/json"}
 
 
@@ -37,7 +40,7 @@
     model: str
     messages: list[_ChatMessage]
     stream: bool = True
-    max_tokens: int = 0
+    max_tokens: Annotated[int, Meta(le=MAX_TOKENS)] = 0  # a negative one counts as not given
 
 
 _decode_body = msgspec.json.Decoder(_ChatBody).decode
--- a/lifthead/node/discovery.py
+++ b/lifthead/node/discovery.py
@@ -11,10 +11,13 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 
 from lifthead import http1
+from lifthead.bounds import MAX_INT64
 from lifthead.http1 import HttpError
 from lifthead.interface import EngineEntry
 
@@ -56,7 +59,7 @@
 
 
 class _UpdateMessage(msgspec.Struct):
-    rev: int
+    rev: Annotated[int, Meta(ge=-MAX_INT64, le=MAX_INT64)]
     all: bool
     targets: list[msgspec.Raw]
 
--- a/lifthead/node/engines.py
+++ b/lifthead/node/engines.py
@@ -4,12 +4,12 @@
 differs from the table of engines/codec.py in one entry. This module makes no routing decisions.
 """
 
-import math
 import re
 
 import msgspec
 
 from lifthead import http1
+from lifthead.bounds import is_valid_load_figure, valid_token_count
 from lifthead.engines import codec
 from lifthead.engines.codec import Observation
 from lifthead.http1 import Headers, HttpError, Message
@@ -103,7 +103,7 @@
     """Returns how many prompt tokens a prefill engine found in its prefix cache; raises HttpError if its
     answer can't be decoded."""
     try:
-        return _decode_prefill_answer(body).cached_tokens
+        return valid_token_count(_decode_prefill_answer(body).cached_tokens)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise HttpError(502, f"malformed prefill answer: {str(error)[:100]}") from None
 
@@ -117,7 +117,7 @@
             number = float(value)
         except ValueError:
             continue
-        if name in LOAD_REPORT_FIELDS and math.isfinite(number) and number >= 0:
+        if name in LOAD_REPORT_FIELDS and is_valid_load_figure(number):
             fields[LOAD_REPORT_FIELDS[name]] = number
     return LoadReport(**fields) if fields else None
 
@@ -172,4 +172,4 @@
             raise HttpError(502, f"malformed event: {str(error)[:100]}") from None
         self.begun = True
         if event.usage and event.usage.prompt_tokens_details:
-            self.cached_tokens = event.usage.prompt_tokens_details.cached_tokens
+            self.cached_tokens = valid_token_count(event.usage.prompt_tokens_details.cached_tokens)
