An error in a decision costs one request, which gets its answer, and no other

Whatever made a decision raise, the connection was closed without an answer, the request stayed pending, and the process did not end after SIGTERM. Cause: node/host.py, answer, did not catch an error of on_request; timers, lists and leaving clients had gaps of their own, and health checks were set again only after a check without an error. Change: hosting.py fails the request that met the error, cancels its attempt, releases its state and forgets it.

--- a/lifthead/control.py
+++ b/lifthead/control.py
@@ -422,9 +422,9 @@
 
     def on_timer(self, key: int) -> None:
         if key == WINDOW_TIMER:
-            self._on_window_end()
+            self._repeat(self._on_window_end, self.window, key)
         elif key == HEALTH_TIMER:
-            self._check_health()
+            self._repeat(self._check_health, HEALTH_CHECK_INTERVAL, key)
         elif key & PROBE_TIMER == PROBE_TIMER:
             self._on_probes_done(key >> 2)
         elif key & PROBE_TIMER == LEASE_TIMER:
@@ -433,6 +433,13 @@
             self.host.fail(request.spec.id)
             self._finish(request)
 
+    def _repeat(self, action: Callable[[], None], interval: int, key: int) -> None:
+        """Runs a periodic action and sets its next timer, which an error in the action must not prevent."""
+        try:
+            action()
+        finally:
+            self.host.set_timer(interval, key)
+
     def on_load_report(self, engine_name: str, report: LoadReport | None) -> None:
         engine = self.engines.get(engine_name)
         if engine and report:
@@ -931,7 +938,6 @@
                 if not attempt.presumed_lost and (attempt.is_prefill or attempt.repeatable):
                     self.host.cancel_attempt(attempt.request_id, attempt.number)
                 attempt.presumed_lost = True
-        self.host.set_timer(HEALTH_CHECK_INTERVAL, HEALTH_TIMER)
 
     def _may_trial(self, engine: Engine, request: Request, now: int) -> bool:
         """Half-open trial: an ejected engine gets one attempt at a time, and never a non-idempotent one."""
@@ -1004,7 +1010,6 @@
         for pace in self.pace.values() if now // self.window % PACE_HALVING_WINDOWS == 0 else ():
             pace.halve()  # a past overload fades, as rejected requests bring no new measurements
         self.slow_start.window_ended(self.prefill_engines + self.decode_engines, now)
-        self.host.set_timer(self.window, WINDOW_TIMER)
 
     # Actions.
 
--- a/lifthead/daemon/host.py
+++ b/lifthead/daemon/host.py
@@ -98,7 +98,7 @@
         self.start_times.on_list(at)
         if update.whole:
             self._mark_missing_gone({listed.name for listed in update.engines}, at)
-        self.router.on_engine_list(entries, update.whole)
+        self._report_engine_list(entries, update.whole)
 
     def _link(self, address: str) -> ConnectionPool:
         return ConnectionPool(address, self.limits.connect_within / 1e6)
@@ -168,7 +168,7 @@
         """The client has disconnected: its attempt is cancelled and its held state is released."""
         if not self._set_final_answer(pending, "left"):
             return
-        self.router.on_client_left(pending.id)
+        self._report_client_left(pending)
         self.resumptions.remove(pending.serial)
         self._running_streams.pop(pending.serial, None)
         if pending.answer_started and pending.attempt:
@@ -582,7 +582,7 @@
                     pending.reply.end(chat.error_event("stopping", "this router stops"))
                 else:
                     pending.reply.send_whole(502, chat.error(502, "stopping", "aborted: this router stops"))
-                self.router.on_client_left(pending.id)
+                self._report_client_left(pending)
             if pending.attempt:
                 self.cancel_attempt(pending.id, pending.attempt.number)
 
--- a/lifthead/hosting.py
+++ b/lifthead/hosting.py
@@ -22,7 +22,7 @@
 from lifthead.engines.link import Connection, ConnectionPool
 from lifthead.guard import HELD_STATE_SLACK, Attempt, Refusal, RequestGuard, Rule, Violations, Work
 from lifthead.http1 import Message
-from lifthead.interface import Deployment, RequestSpec
+from lifthead.interface import Deployment, EngineEntry, RequestSpec
 from lifthead.release_tasks import ReleaseTasks
 from lifthead.starts import StartTimes
 
@@ -133,8 +133,8 @@
         return int((self._loop.time() - message.received_at) * 1e6)
 
     @contextlib.contextmanager
-    def _timers_belong_to(self, pending: PendingRequest) -> Iterator[None]:
-        """Attaches the timers that the decision module sets in this context to the request."""
+    def _timers_belong_to(self, pending: PendingRequest | None) -> Iterator[None]:
+        """Attaches the timers that the decision module sets in this context to the request, if any."""
         self._timer_owner = pending
         try:
             yield
@@ -142,9 +142,14 @@
             self._timer_owner = None
 
     def _place_request(self, spec: RequestSpec, pending: PendingRequest) -> None:
-        """Passes a request to the decision module to place."""
-        with self._timers_belong_to(pending):
-            self.router.on_request(spec)
+        """Passes a request to the decision module to place. A bug that one request meets must not leave it
+        unanswered."""
+        try:
+            with self._timers_belong_to(pending):
+                self.router.on_request(spec)
+        except Exception:
+            log.exception("request %s could not be placed", pending.guard.request)
+            self._fail_request(pending)
 
     # The list of engines.
 
@@ -213,20 +218,26 @@
         return now()
 
     def set_timer(self, after: int, key: int) -> None:
-        timer = self._loop.call_later(max(after, 0) / 1e6, self._fire, key)
-        if self._timer_owner:  # a request's timers are cancelled when it is over
-            self._timer_owner.timers.append(timer)
+        owner = self._timer_owner
+        timer = self._loop.call_later(max(after, 0) / 1e6, self._fire, key, owner)
+        if owner:  # a request's timers are cancelled when it is over
+            owner.timers.append(timer)
 
-    def _fire(self, key: int, turns_left: int = LOOP_TURNS_TO_READ) -> None:
+    def _fire(
+        self, key: int, owner: PendingRequest | None = None, turns_left: int = LOOP_TURNS_TO_READ
+    ) -> None:
         """Fires a timer, but first lets the event loop read what has arrived while this process was stalled:
         an attempt that looks unanswered may have its answer there."""
         if turns_left:
-            self._loop.call_soon(self._fire, key, turns_left - 1)
+            self._loop.call_soon(self._fire, key, owner, turns_left - 1)
         elif not self._stopped:
             try:
-                self.router.on_timer(key)
+                with self._timers_belong_to(owner):
+                    self.router.on_timer(key)
             except Exception:
                 log.exception("timer %d failed", key)
+                if owner and owner.id in self.pending_requests:
+                    self._fail_request(owner)
 
     def start_attempt(self, request_id: int, engine: str, abandon_at: int, send_by: int) -> None:
         pending, at = self.pending_requests[request_id], now()
@@ -261,10 +272,27 @@
     def _fail_request(self, pending: Any) -> None:
         """Fails a request after an internal error, without asking the decision module."""
         self.fail(pending.id)
+        if pending.attempt:
+            self.cancel_attempt(pending.id, pending.attempt.number)
         self.release_state(pending.id)
         self.router.forget(pending.id)
         self._forget(pending)
 
+    def _report_client_left(self, pending: Any) -> None:
+        """Reports to the decision module that a client is gone. Its request ends even if that fails."""
+        try:
+            self.router.on_client_left(pending.id)
+        except Exception:
+            log.exception("the end of request %s failed", pending.guard.request)
+            self._fail_request(pending)
+
+    def _report_engine_list(self, entries: list[EngineEntry], is_whole: bool) -> None:
+        """Reports an update of the list of engines. A bug in its handling must not end the process."""
+        try:
+            self.router.on_engine_list(entries, is_whole)
+        except Exception:
+            log.exception("an update of the list of engines failed")
+
     def _spawn(self, coroutine: Coroutine[Any, Any, None], description: str) -> asyncio.Task[None]:
         """Starts a background task that may fail without ending the process."""
 
--- a/lifthead/node/host.py
+++ b/lifthead/node/host.py
@@ -96,7 +96,7 @@
         self.start_times.on_list(received_at)
         if update.is_snapshot:
             self._mark_missing_gone({entry.engine for entry in entries}, received_at)
-        self.router.on_engine_list(entries, update.is_snapshot)
+        self._report_engine_list(entries, update.is_snapshot)
 
     def _link(self, address: str) -> ConnectionPool:
         limits = (engines.MAX_HEAD_BYTES, engines.MAX_CHUNK_BYTES)
@@ -146,7 +146,7 @@
         """Handles the disconnect of a client: cancels its attempt in flight and releases its held state."""
         if not self._set_final_answer(pending, "left"):
             return
-        self.router.on_client_left(pending.id)
+        self._report_client_left(pending)
         if pending.answer_started and pending.attempt:
             self.cancel_attempt(pending.id, pending.attempt.number)  # nobody receives the stream
         self._forget(pending)
@@ -339,7 +339,7 @@
         outcome, outcome_note = engines.OUTCOMES[observation]
         self._on_attempt_ended(pending, attempt, observation)
         if pending.answer_started and self._set_final_answer(pending, "broken"):
-            pending.reply.truncate()
+            self._end_broken_answer(pending)
         final = pending.final_answer != ""
         took_us = now() - attempt.sent_at
         self._note_event(
@@ -361,6 +361,13 @@
             self.release_state(pending.id)
         self._forget(pending)
 
+    def _end_broken_answer(self, pending: PendingRequest) -> None:
+        """Ends an answer whose stream broke: without its last chunk, or by an error if nothing was sent."""
+        if pending.reply.begun:
+            pending.reply.truncate()
+        else:
+            pending.reply.send_whole(*clients.failure())
+
     def _enforce_connection_limit(self) -> None:
         """Keeps the connections to engines within their share of the descriptors: closes the longest idle
         ones first, then the connection of an idle client. Open requests never need more than that share,
