Load reports are parsed in linear time: one that can't be read stopped the router for 35 s

Cause: _find_pairs in node/engines.py matched a run of letters again from each of its letters: 199 ms for 4 KiB, 1,243 ms for 8 KiB, in the event loop. Change: a name is matched whole or not at all, and a report is at most as long as the head of an answer.

--- a/lifthead/node/engines.py
+++ b/lifthead/node/engines.py
@@ -18,6 +18,7 @@
 
 MAX_HEAD_BYTES = 16_384  # of an answer's head
 MAX_CHUNK_BYTES = 262_144  # of a chunk or an event
+MAX_REPORT_BYTES = 16_384  # of a load report, wherever it comes: what the head of an answer may hold
 MAX_ANSWER_BYTES = 262_144  # of an answer that is not a stream
 STREAM_SILENCE_TIMEOUT = 3.8  # seconds without a byte on a begun stream; a client may have to wait for 5
 MAX_RECONNECTS = 2  # for an attempt whose connections are reset before all of it is written
@@ -64,7 +65,8 @@
 
 _decode_prefill_answer = msgspec.json.Decoder(_PrefillAnswer).decode
 _decode_event = msgspec.json.Decoder(_Event).decode
-_find_pairs = re.compile(r"([a-z0-9_]+)[=:]([^,\s]+)").findall
+# A name is matched whole or not at all, so that the work is linear in the length of the text.
+_find_pairs = re.compile(r"(?<![a-z0-9_])([a-z0-9_]++)[=:]([^,\s]+)").findall
 
 
 def encode_attempt(message: Message, time_left: int) -> bytes:
@@ -109,8 +111,10 @@
 
 
 def parse_load_report(text: str) -> LoadReport | None:
-    """Parses a load report in its text form; returns None if it has no valid value. Unknown and invalid
-    values are left out."""
+    """Parses a load report in its text form; returns None if it is too long or has no valid value. Unknown
+    and invalid values are left out."""
+    if len(text) > MAX_REPORT_BYTES:
+        return None
     fields: dict[str, float] = {}
     for name, value in _find_pairs(text):
         try:
