--- a/lifthead/daemon/host.py
+++ b/lifthead/daemon/host.py
@@ -322,14 +322,15 @@
         """Relays the events of a decode engine to the client.
 
         Events before the first text are held back, so that another attempt is possible until then. With a
-        splice, they continue the client's stream from where it broke.
+        splice, they continue the client's stream from where it broke. From the first text on only another
+        event restarts the stall timeout: other bytes, such as comments, leave the client waiting.
         """
         events, assembler = codec.EventStream(), None if pending.request.streamed else AnswerAssembler()
         buffered: list[bytes] = []
         stall_timeout = self.limits.stalled_for / 1e6
         timeout_set_at = 0.0
         while data := await connection.read_body():
-            tokens, start = events.tokens, 0
+            tokens, previous_event_count, start = events.tokens, events.event_count, 0
             while start < len(data):
                 if pending.answer_started and not assembler and not splice:
                     plain, to_parse = events.split_text_events(data[start:])
@@ -367,12 +368,14 @@
                 if block and not pending.reply.send(
                     chat.with_event_id(block, f"{pending.name}:{pending.resumes}:{events.tokens}")
                 ):
-                    timeout.reschedule(None)  # a slow client is not a stalled engine
+                    # A block holds events, so it is progress: a slow client is not a stalled engine.
+                    timeout.reschedule(None)
                     self.stall_detector.client_blocked(pending.serial)
                     await pending.reply.wait_writable()
                     self.stall_detector.client_unblocked(pending.serial, now())
                     timeout_set_at = 0.0
-                if self._loop.time() > timeout_set_at + stall_timeout / 8:
+                has_progressed = events.event_count > previous_event_count
+                if has_progressed and self._loop.time() > timeout_set_at + stall_timeout / 8:
                     timeout_set_at = self._loop.time()
                     timeout.reschedule(timeout_set_at + stall_timeout * 9 / 8)
         if not events.ended:
--- a/lifthead/engines/codec.py
+++ b/lifthead/engines/codec.py
@@ -39,7 +39,7 @@
     REFUSED_UNMARKED = "any other status"
     CUT = "the connection broke, or ended too early"
     STRANGE = "bytes that violate the protocol"
-    STALLED = "no byte of a started stream for the longest time allowed"
+    STALLED = "no event of a started stream for the longest time allowed"
 
 
 # UNREACHABLE, NOT_SENT and BUSY prove that the attempt has not run. After any other it may have run.
@@ -210,6 +210,7 @@
     def __init__(self) -> None:
         self._partial = bytearray()  # the bytes after the last whole event
         self.ended = False  # the protocol's own end marker has arrived
+        self.event_count = 0
         self.tokens = 0  # events with text
         self.usage: _Usage | None = None
 
@@ -242,6 +243,7 @@
         if end < 2 or not whole.startswith(b"data: {") or whole.count(b"\n\ndata: {") != count - 1:
             return b"", data
         self.tokens += count
+        self.event_count += count
         if marked == len(data):
             self._keep_partial(data[end:])
             return whole, b""
@@ -264,6 +266,7 @@
             event = b"\n".join(lines)
         if self.ended:
             return None
+        self.event_count += 1
         payload = event[5:].strip()
         if payload == b"[DONE]":
             self.ended = True
--- a/lifthead/node/engines.py
+++ b/lifthead/node/engines.py
@@ -17,10 +17,10 @@
 from lifthead.node.clients import ID_HEADER
 
 MAX_HEAD_BYTES = 16_384  # of an answer's head
-MAX_CHUNK_BYTES = 262_144  # of a chunk or an event
+MAX_CHUNK_BYTES = 262_144  # of a chunk, of an event, or of the comments before the first event
 MAX_REPORT_BYTES = 16_384  # of a load report, wherever it comes: what the head of an answer may hold
 MAX_ANSWER_BYTES = 262_144  # of an answer that is not a stream
-STREAM_SILENCE_TIMEOUT = 3.8  # seconds without a byte on a begun stream; a client may have to wait for 5
+STREAM_SILENCE_TIMEOUT = 3.8  # seconds without an event on a begun stream; a client may have to wait for 5
 MAX_RECONNECTS = 2  # for an attempt whose connections are reset before all of it is written
 IDLE_FRACTION = 0.6  # of the engine's idle timeout, for which an unused connection counts as usable
 NEVER_RAN_HEADER = "x-never-ran"
@@ -136,7 +136,9 @@
 
     def __init__(self) -> None:
         self._incomplete = bytearray()
+        self._opening_comments = bytearray()  # before the first event
         self.begun = self.ended = False
+        self.event_count = 0
         self.cached_tokens = 0  # prompt tokens found in the prefix cache, as the last event says
         self.report: LoadReport | None = None
 
@@ -146,7 +148,8 @@
         return self.ended and not self._incomplete.strip()
 
     def feed(self, data: bytes) -> bytes:
-        """Returns the complete events that may be passed on; raises HttpError for a malformed one."""
+        """Returns the complete events that may be passed on; raises HttpError for a malformed one. Comments
+        before the first event are passed on with it."""
         searched = max(len(self._incomplete) - 1, 0)  # no event ends in these bytes
         self._incomplete += data
         end = self._incomplete.rfind(b"\n\n", searched) + 2
@@ -159,7 +162,19 @@
         for line in complete.split(b"\n"):
             if line:
                 self._parse_line(line)
-        return complete
+        if self.begun:
+            return self._with_opening_comments(complete)
+        self._opening_comments += complete
+        if len(self._opening_comments) > MAX_CHUNK_BYTES:
+            raise HttpError(502, f"comments of more than {MAX_CHUNK_BYTES} bytes before the first event")
+        return b""
+
+    def _with_opening_comments(self, complete: bytes) -> bytes:
+        if not self._opening_comments:
+            return complete
+        comments = bytes(self._opening_comments)
+        self._opening_comments.clear()
+        return comments + complete
 
     def _parse_line(self, line: bytes) -> None:
         if line.startswith(b":"):
@@ -167,6 +182,7 @@
             if comment.lower().startswith("endpoint-load-metrics:"):
                 self.report = parse_load_report(comment)
             return
+        self.event_count += 1
         if line == b"data: [DONE]":
             self.ended = True
             return
--- a/lifthead/node/host.py
+++ b/lifthead/node/host.py
@@ -204,7 +204,7 @@
             observation = Observation.OUT_OF_TIME if connection else Observation.NO_CONNECTION
             if pending.answer_started:
                 observation = Observation.STALLED
-                _log_once(endpoint, attempt.engine, "a stream fell silent and was cut")
+                _log_once(endpoint, attempt.engine, "no event came on a stream, which was cut")
         except asyncio.CancelledError:
             if not attempt.cancelled:
                 raise  # the process ends
@@ -292,15 +292,15 @@
         timeout: asyncio.Timeout,
     ) -> tuple[Observation, int, LoadReport | None]:
         """Relays the events of a decode engine as they arrive. Another attempt is possible until the first
-        one has arrived."""
+        one has arrived. From then on only another event restarts the silence timeout: other bytes, such as
+        comments or half an event, leave the client waiting."""
         events, timer_set_at = engines.EventStream(), 0.0
-        buffered = b""
         while data := await connection.read_body():
-            complete_events = buffered + events.feed(data)
+            previous_event_count = events.event_count
+            complete_events = events.feed(data)
             if not events.begun:
-                buffered = complete_events
                 continue
-            buffered = b""
+            has_progressed = events.event_count > previous_event_count
             if pending.final_answer:
                 return Observation.CALLED_OFF, 0, None
             if not pending.answer_started:
@@ -315,10 +315,11 @@
             else:
                 has_room = pending.reply.send(complete_events) if complete_events else True
             if not has_room:
-                timeout.reschedule(None)  # a slow client is not a silent engine
+                if has_progressed:
+                    timeout.reschedule(None)  # a slow client is not a silent engine
+                    timer_set_at = 0.0
                 await pending.reply.wait_writable()
-                timer_set_at = 0.0
-            if self._loop.time() > timer_set_at + engines.STREAM_SILENCE_TIMEOUT / 8:
+            if has_progressed and self._loop.time() > timer_set_at + engines.STREAM_SILENCE_TIMEOUT / 8:
                 timer_set_at = self._loop.time()
                 timeout.reschedule(timer_set_at + engines.STREAM_SILENCE_TIMEOUT * 9 / 8)
         if not pending.answer_started or not events.is_complete:
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -1,6 +1,7 @@
 """Clients and engines that misbehave on their sockets, with the router in the same process."""
 
 import asyncio
+import contextlib
 import json
 import time
 
@@ -267,6 +268,28 @@
     run(scenario())
 
 
+@pytest.mark.parametrize(
+    ("first", "again"),
+    [(b"C0000000\r\n", b"#"), (b"", chunk(b": still here\n\n")), (chunk(b"data: {"), chunk(b" "))],
+)
+def test_a_stream_that_keeps_coming_without_events_ends_for_its_client(tmp_path, first, again):
+    """Guards against review/3 in the daemon: any bytes moved the limit `stalled_for` (0.6 s here) on."""
+
+    async def scenario():
+        async def keep_coming(reader, writer):
+            with contextlib.suppress(OSError):
+                await answering(STREAM_HEAD + chunk(TEXT_EVENT), first, *[again] * 1000)(reader, writer)
+
+        async with Loopback(tmp_path, engines=(), handlers={"wr": keep_coming}) as loopback:
+            sent = http(body(model="once", stream=True))
+            async with asyncio.timeout(1.6):
+                text, last, _ = stream_content(await send_raw(loopback.address, sent))
+            assert text == "a " and b"stream_broken" in last
+            await loopback.until(lambda: not loopback.daemon.host.pending_requests, 0.5)
+
+    run(scenario())
+
+
 def test_an_answer_that_arrives_byte_by_byte(tmp_path):
     async def scenario():
         stream = chunk(TEXT_EVENT * 2 + 'data: {"choices":[{"delta":{"content":"não"}}]}\r\n\r\n'.encode())
