--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -4,6 +4,8 @@
 import contextlib
 import json
 import os
+import socket
+import time
 from pathlib import Path
 
 import pytest
@@ -29,7 +31,10 @@
     wait_until_ready,
 )
 
-from lifthead.node import start
+from lifthead import socket_state
+from lifthead.chat.server import ClientConnections
+from lifthead.node import clients, start
+from lifthead.node.serve import ClientLimits, open_listening_socket
 
 MAX_DESCRIPTORS = 100
 IDLE_CLIENTS = 160
@@ -146,3 +151,58 @@
 
     wr = Engine()
     assert run_with_node(scenario, wr=wr) == ((200,), True, 1)
+
+
+async def hold_in_listen_queue(wait, data):
+    """Sends `data` on a connection that cannot be accepted for `wait` seconds, as another client holds the
+    only place. Returns how long ago its request arrived, as its message says."""
+    waited = asyncio.get_running_loop().create_future()
+    first_is_served = asyncio.Event()
+
+    async def serve(message, reply):
+        if message.path == "/hold":
+            await first_is_served.wait()
+        else:
+            waited.set_result(asyncio.get_running_loop().time() - message.received_at)
+        reply.keep_alive = False
+        reply.send_whole(200, b"")
+
+    listener = open_listening_socket(("127.0.0.1", 0))
+    address = "{}:{}".format(*listener.getsockname())
+    connections = ClientConnections(ClientLimits(1), serve, clients.error_body)
+    async with asyncio.TaskGroup() as tasks, Client(address) as first:
+        accepting = tasks.create_task(connections.accept(listener, tasks))
+        await first.send(b"GET /hold HTTP/1.1\r\nhost: x\r\n\r\n")
+        await asyncio.sleep(0.1)
+        async with Client(address) as second:
+            started_at = asyncio.get_running_loop().time()
+            await second.send(data[:-2])
+            await asyncio.sleep(wait / 2)
+            await second.send(data[-2:])
+            await asyncio.sleep(wait / 2)
+            first_is_served.set()
+            arrived_ago = await waited
+            real = asyncio.get_running_loop().time() - started_at
+        accepting.cancel()
+    listener.close()
+    return arrived_ago, real
+
+
+def test_the_wait_in_the_listen_queue_counts_against_the_budget():
+    """Guards against answers that come late by as long as a crowd of idle clients keeps others waiting to be
+    accepted (soak, seed 410: a request answered 536 to 553 ms after its time)."""
+    arrived_ago, real = asyncio.run(hold_in_listen_queue(0.6, READY_REQUEST))
+    assert 0.25 < arrived_ago < real - 0.25  # since its last byte, not since its first
+
+
+def test_a_request_that_is_accepted_at_once_has_not_waited():
+    with (
+        socket.create_server(("127.0.0.1", 0)) as listener,
+        socket.create_connection(listener.getsockname()) as client,
+        listener.accept()[0] as accepted,
+    ):
+        before = socket_state.seconds_unread(accepted)
+        client.send(b"x")
+        time.sleep(0.3)
+        after = socket_state.seconds_unread(accepted)
+    assert before == 0 and 0.25 < after < 1
