Pipelined requests past 512 KiB stay unread until their turn and are not thrown away

Cause: chat/server.py, _watch_for_close, discarded what came after PIPELINED_BYTES and closed the connection. Change: it stops reading while the requests that wait hold that much, looks for a disconnect meanwhile, and reads on when some are answered. What stayed unread counts as come when the reading stopped, so its budget runs. A stop answers it as well. The bound holds for a connection; it held for one request of it at a time.

--- a/lifthead/chat/server.py
+++ b/lifthead/chat/server.py
@@ -15,8 +15,9 @@
 READ_BYTES = 65_536  # read at once, and the high-water mark of the write buffer
 LINGER_FOR = 1.0  # seconds
 LINGER_BYTES = 1 << 20  # read and discarded at most while a connection lingers
-PIPELINED_BYTES = 1 << 19  # that a client may send behind a request that is not answered yet
-PIPELINED_PAUSE = 0.005  # seconds between reads of what a client sends past that
+PIPELINED_BYTES = 1 << 19  # read at most of what a client sends behind a request that is not answered yet
+DISCARD_PAUSE = 0.005  # seconds between reads of what a client sends behind a malformed request
+CLOSE_CHECK_INTERVAL = 0.02  # seconds between looks for a disconnect while the client's bytes stay unread
 ACCEPT_RETRY = 0.02  # seconds between attempts to accept while no descriptor is free
 EVICTION_CANDIDATES = 16  # idle connections that are examined when one is to be evicted
 EVICTABLE_AFTER = 0.1  # seconds after which a connection without an open request may be evicted
@@ -356,7 +357,7 @@
                 writer,
                 message.keep_alive,
                 self.limits.body_within / 1e6,
-                lambda: self.stopping and not parser.requests,
+                lambda: self.stopping and not parser.requests and parser.unread_since is None,
             )
             if self._refusing:
                 reply.send_whole(
@@ -364,7 +365,7 @@
                 )
             else:
                 async with asyncio.TaskGroup() as tasks:
-                    watch = tasks.create_task(self._watch_for_close(reader, parser, reply))
+                    watch = tasks.create_task(self._watch_for_close(reader, writer, parser, reply))
                     await self._serve(message, reply)
                     watch.cancel()
             if not reply.keep_alive:
@@ -422,7 +423,8 @@
                 return None
             parser.feed_pipelined(data, loop.time() if arrived_at is None else arrived_at)
             arrived_at = None
-        return parser.requests.popleft()
+            self._note_all_read(parser, data, writer)
+        return parser.next_request()
 
     async def _linger(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Lets the peer read the answer before the connection closes.
@@ -438,28 +440,50 @@
                     left -= len(data)
 
     async def _watch_for_close(
-        self, reader: asyncio.StreamReader, parser: http1.RequestParser, reply: Reply
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        parser: http1.RequestParser,
+        reply: Reply,
     ) -> None:
         """Reads on while a request is served, so that a disconnect is noticed at once.
 
-        Pipelined requests are parsed up to a limit and wait for their turn; what exceeds it, or is malformed,
-        is discarded. A client that closes its sending side counts as gone.
+        Pipelined requests are parsed up to a limit and wait for their turn; what exceeds it stays unread
+        until some of them are answered. What follows a malformed one is discarded. A client that closes its
+        sending side counts as gone.
         """
-        pipelined, loop = 0, asyncio.get_running_loop()
+        loop = asyncio.get_running_loop()
         with contextlib.suppress(OSError):
-            while data := await reader.read(READ_BYTES):
-                pipelined += len(data)
-                if pipelined > PIPELINED_BYTES:
-                    parser.error = HttpError(413, f"over {PIPELINED_BYTES} bytes came before an answer")
+            while True:
+                if parser.buffered_bytes > PIPELINED_BYTES and not parser.error:
+                    parser.unread_since = parser.unread_since or loop.time()
+                    await _wait_for_disconnect(writer)
+                    break
+                if not (data := await reader.read(READ_BYTES)):
+                    break
                 parser.feed_pipelined(data, loop.time())
-                if parser.error:  # a flood behind a request must not fill the memory or occupy the loop
-                    await asyncio.sleep(PIPELINED_PAUSE)
+                self._note_all_read(parser, data, writer)
+                if parser.error:  # a flood behind it must not fill the memory or occupy the loop
+                    await asyncio.sleep(DISCARD_PAUSE)
         reply.keep_alive = False
         if not reply.over:
             reply.drop()
             if reply.on_client_gone:
                 reply.on_client_gone()
 
+    def _note_all_read(self, parser: http1.RequestParser, data: bytes, writer: asyncio.StreamWriter) -> None:
+        """Notes after a read whether nothing is left of what was held back unread."""
+        if parser.unread_since is None or len(data) == READ_BYTES:
+            return
+        if not socket_state.has_event(writer, socket_state.READABLE):
+            parser.unread_since = None
+
+
+async def _wait_for_disconnect(writer: asyncio.StreamWriter) -> None:
+    """Waits until the client has closed its side, without reading what it sent before."""
+    while not socket_state.has_event(writer, socket_state.PEER_CLOSED):
+        await asyncio.sleep(CLOSE_CHECK_INTERVAL)
+
 
 async def _take_buffered(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bytes:
     """Returns what the event loop has read and nobody has consumed yet; b"" if there is nothing.
--- a/lifthead/http1.py
+++ b/lifthead/http1.py
@@ -38,6 +38,7 @@
     body: bytes = b""
     keep_alive: bool = True
     received_at: float = 0.0  # when its last byte came, on the clock of the parser's caller
+    received_bytes: int = 0  # of a complete request, its head and body
 
 
 class _Parser:
@@ -98,14 +99,28 @@
         self._llhttp = httptools.HttpRequestParser(self)
         self.requests: deque[Message] = deque()
         self.error: HttpError | None = None  # why what follows those in `requests` can't be parsed
+        # Since when the caller leaves bytes unread: those that are read next may have come at any time since.
+        self.unread_since: float | None = None
+        self._queued_bytes = 0  # of the complete requests
         self._body_parts: list[bytes] = []
         self._received_at = 0.0
         super().__init__(header_bytes, body_bytes)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """The bytes of the complete requests that wait, and of the incomplete one."""
+        return self._queued_bytes + self._head_bytes + self._body_bytes
+
+    def next_request(self) -> Message:
+        """Returns the complete request that waits longest; IndexError if there is none."""
+        message = self.requests.popleft()
+        self._queued_bytes -= message.received_bytes
+        return message
+
     def feed_pipelined(self, data: bytes, at: float = 0.0) -> None:
         """As `feed`, but an error is stored in `error` and reported after the complete requests before it.
         `at`: when the bytes came."""
-        self._received_at = at
+        self._received_at = at if self.unread_since is None else self.unread_since
         try:
             if not self.error:
                 self.feed(data)
@@ -139,6 +154,8 @@
         self._message.method = self._llhttp.get_method().decode("latin-1")
         self._message.body = b"".join(self._body_parts)
         self._message.received_at = self._received_at
+        self._message.received_bytes = self._head_bytes + self._body_bytes
+        self._queued_bytes += self._message.received_bytes
         self._body_parts = []  # an idle keep-alive connection keeps no body in memory
         self.requests.append(self._message)
         self._reset()
