--- a/lifthead/standins/faults/checker.py
+++ b/lifthead/standins/faults/checker.py
@@ -58,6 +58,7 @@
     delivered_at: dict[ConnectionKey, list[int]] = field(default_factory=lambda: defaultdict(list))
     attempt_ended_at: dict[tuple[str, int], list[int]] = field(default_factory=lambda: defaultdict(list))
     discovery_updates: list[RecordLine] = field(default_factory=list)
+    zones: dict[str, str] = field(default_factory=dict)  # by engine
     killed: list[RecordLine] = field(default_factory=list)
     last_recorded_at: int = 0
     has_discovery_faults: bool = False
@@ -91,6 +92,7 @@
             self.suspensions[line["name"]].append((line["t"], line["signal"] == "SIGSTOP"))
         elif event == "told":
             self.discovery_updates.append(line)
+            self.zones |= line["zones"]
         elif event in ("killed", "stopping"):
             getattr(self, event).append(line)
         elif "request" in line:
@@ -202,11 +204,8 @@
     runs = [line for line in lines if line["ev"] == "ran"]
     if len(runs) > 1 and runs[0]["qos"] == NON_IDEMPOTENT:
         breaches.append(Breach(2, request_id, f"ran {len(runs)} times"))
-    if (
-        len(runs) > 1
-        and runs[0]["qos"] == WITH_IDEMPOTENCY_KEY
-        and len({run["engine"][0] for run in runs}) > 1
-    ):
+    zones = {traffic.zones[run["engine"]] for run in runs if run["qos"] == WITH_IDEMPOTENCY_KEY}
+    if len(zones) > 1:
         breaches.append(Breach(2, request_id, "a request with an idempotency key ran in two zones"))
     arrivals = [line for line in lines if line["ev"] == "arrived" and traffic.is_in_flight(line)]
     for first, second in zip(arrivals, arrivals[1:], strict=False):
--- a/lifthead/standins/faults/discovery.py
+++ b/lifthead/standins/faults/discovery.py
@@ -68,7 +68,10 @@
                 if sent_version != self.version:
                     sent_version, line = self.version, self.full_list()
                     states = {each.name: each.state for each in self.engines.values()}
-                    self.record.put("told", router=self.router, version=sent_version, states=states)
+                    zones = {each.name: each.zone for each in self.engines.values()}
+                    self.record.put(
+                        "told", router=self.router, version=sent_version, states=states, zones=zones
+                    )
                 writer.write(b"%x\r\n%b\n\r\n" % (len(line) + 1, line))
                 await writer.drain()
                 with contextlib.suppress(TimeoutError):
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -169,6 +169,17 @@
     assert [breach.rule for breach in find_breaches([asked(qos=qos), *runs, answered(3)])] == expected
 
 
+@pytest.mark.parametrize(("other", "expected"), [("d2", []), ("d1", [2])])
+def test_a_request_with_a_key_that_runs_in_two_zones_is_a_breach(other, expected):
+    """Guards against a check that could not fail: it compared the first letters of engine names."""
+    zones = {"d0": "a", "d1": "b", "d2": "a"}
+    told = line(0, "told", router="n0", version=1, states=dict.fromkeys(zones, "ready"), zones=zones)
+    key = settings.WITH_IDEMPOTENCY_KEY
+    runs = [at_engine(at, "ran", engine, qos=key) for at, engine in ((1, "d0"), (2, other))]
+    breaches = find_breaches([told, asked(qos=key), *runs, answered(3)])
+    assert [breach.rule for breach in breaches] == expected
+
+
 @pytest.mark.parametrize(
     ("outcome", "at", "expected"),
     [("nothing", 6.5, [1]), ("closed", 1, [1]), ("503", 5.4, []), ("503", 5.6, [1]), ("left", 9, [])],
@@ -185,7 +196,7 @@
 
 @pytest.mark.parametrize(("after", "expected"), [(1.2, []), (1.4, [3])])
 def test_a_draining_engine_gets_nothing_after_the_grace_period(after, expected):
-    update = line(SECOND, "told", router="n0", version=2, states={"d0": "draining"})
+    update = line(SECOND, "told", router="n0", version=2, states={"d0": "draining"}, zones={"d0": "a"})
     sent = on_connection(int((1 + after) * SECOND), "sent", "d0") | {"request": "r"}
     assert [
         breach.rule for breach in find_breaches([asked(), update, sent, answered(4 * SECOND)])
