A property test: no number within the bounds breaks a decision

Change: hypothesis feeds requests, endings, load reports, weights and start times at the extremes that the codecs let through, in any order, with reports on probes and in answers.

--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import json
+from dataclasses import replace
 
 import pytest
 from helpers import RecordingHost, entry
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from onenode import PREFILLED, STREAM, Client, Engine, chat, exchange, run_with_node
 
 from lifthead.bounds import MAX_LOAD_FIGURE, MAX_TOKENS
@@ -12,7 +15,7 @@
 from lifthead.engines import codec
 from lifthead.http1 import HttpError
 from lifthead.instance_settings import MalformedError, int_field
-from lifthead.interface import LoadReport, RequestSpec
+from lifthead.interface import AttemptOutcome, LoadReport, RequestSpec
 from lifthead.node import engines
 from lifthead.node.discovery import MalformedUpdateError, parse_update
 
@@ -112,3 +115,61 @@
     event = {"choices": [{"delta": {"tool_calls": [{"index": index, "id": "c"}]}}]}
     with pytest.raises(HttpError):
         chat_codec.AnswerAssembler().add(json.dumps(event).encode())
+
+
+TOKENS = st.sampled_from([0, 1, 4095, 4096, 65_536])
+OUTPUT_TOKENS = st.sampled_from([0, 1, 100_000, MAX_TOKENS])
+CACHED_TOKENS = st.sampled_from([0, 1, 5000, MAX_TOKENS])
+FIGURES = st.none() | st.sampled_from([0.0, 5e-324, 1e-9, 0.5, 1.0, 1000.0, MAX_LOAD_FIGURE])
+REPORTS = st.none() | st.builds(LoadReport, FIGURES, FIGURES, FIGURES, FIGURES, FIGURES)
+WEIGHTS = st.sampled_from([0.0, 5e-324, 1e-9, 1.0, 1e18, 1e308])
+START_TIMES = st.sampled_from([0, 1, 99_999_999, 1 << 62])
+REQUESTS = st.tuples(
+    st.just("request"), TOKENS, OUTPUT_TOKENS, st.sampled_from([1, 8_000_000, 3_600_000_000]), CACHED_TOKENS
+)
+ENDINGS = st.tuples(st.just("end"), st.sampled_from(list(AttemptOutcome)), CACHED_TOKENS, REPORTS)
+LOAD_REPORTS = st.tuples(st.just("report"), st.sampled_from(["R1", "R2", "W1", "B1"]), REPORTS)
+LISTS = st.tuples(st.just("list"), st.sampled_from(["R1", "W1", "B1"]), WEIGHTS, START_TIMES)
+PAUSES = st.tuples(st.just("pause"), st.sampled_from([100_000, 2_000_000, 5_000_000]))
+
+
+def take_step(host, step):
+    """Feeds one event to the router of the host, and the latest request's end if there is one in flight."""
+    kind, *values = step
+    if kind == "request":
+        prompt, output, budget, prefix = values
+        request_id, host.next_id = host.next_id, host.next_id + 1
+        host.router.on_request(
+            RequestSpec(request_id, "chat", "t", budget, prompt, output, "s", "p", prefix, 0, False)
+        )
+    elif kind == "report":
+        host.router.on_load_report(*values)
+    elif kind == "list":
+        name, weight, up_since = values
+        changed = replace(entry(name), weight=weight, up_since=up_since)
+        host.router.on_engine_list([changed], whole_list=False)
+    elif kind == "pause":
+        host.advance(*values)
+    elif in_flight := [request for request in host.router.requests.values() if request.in_flight]:
+        outcome, cached, report = values
+        request = in_flight[-1]
+        attempt = request.in_flight
+        detail = cached if outcome in (AttemptOutcome.PREFILLED, AttemptOutcome.COMPLETED) else 0
+        host.router.on_attempt_ended(
+            request.spec.id, attempt.number, attempt.engine.name, outcome, 50_000, detail,
+            outcome is AttemptOutcome.COMPLETED, report,
+        )  # fmt: skip
+
+
+@pytest.mark.parametrize("on_probe", [True, False])
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(steps=st.lists(REQUESTS | ENDINGS | LOAD_REPORTS | LISTS | PAUSES, max_size=60))
+def test_no_number_within_the_bounds_breaks_a_decision(on_probe, steps):
+    """Every extreme that the codecs let through, in any order: no decision may raise."""
+    fleet = [entry("R1"), entry("R2", "b"), entry("W1"), entry("W2", "b"), entry("B1")]
+    host = RecordingHost(*fleet, reports_on_probe=on_probe, may_probe=on_probe)
+    for step in steps:
+        take_step(host, step)
+    host.advance(2_000_000)
+    host.request(6000)
+    host.request(100)
