A shared prefix counts for no more tokens than its prompt has

Change: node/clients.py bounds it by the prompt, which the body bounds. Result: the new case with 999,999,999 fails without the change, all of tests/test_bounds.py and tests/test_decision_errors.py pass.

--- a/lifthead/node/clients.py
+++ b/lifthead/node/clients.py
@@ -77,6 +77,8 @@
     if prompt > len(message.body):
         raise HttpError(400, f"x-props' prompt_len is {prompt}, more than the body holds")
     prefix = properties.get("prefix", "")
+    # An engine that is taken to cache more than was sent would attract all requests of the prefix.
+    prefix_tokens = min(_parse_number(properties, "prefix_len", "x-props' prefix_len", 0), prompt)
     return RequestSpec(
         id=number,
         request_class=request_class,
@@ -86,7 +88,7 @@
         max_output_tokens=_parse_number(properties, "max_out", "x-props' max_out", max(body.max_tokens, 0)),
         session=headers.get("x-object", ""),
         prefix_id=prefix,
-        prefix_tokens=_parse_number(properties, "prefix_len", "x-props' prefix_len", 0) if prefix else 0,
+        prefix_tokens=prefix_tokens if prefix else 0,
         expected_time=0,
         is_retry=headers.get("x-second-try", "") == "again",
     )
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -8,15 +8,15 @@
 from helpers import RecordingHost, entry
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from onenode import PREFILLED, STREAM, Client, Engine, chat, exchange, run_with_node
+from onenode import PREFILLED, SETTINGS, STREAM, Client, Engine, chat, exchange, run_with_node
 
 from lifthead.bounds import MAX_LOAD_FIGURE, MAX_TOKENS
 from lifthead.chat import codec as chat_codec
 from lifthead.engines import codec
-from lifthead.http1 import HttpError
-from lifthead.instance_settings import MalformedError, int_field
+from lifthead.http1 import HttpError, RequestParser
+from lifthead.instance_settings import MalformedError, flatten, int_field, parse_deployment
 from lifthead.interface import AttemptOutcome, LoadReport, RequestSpec
-from lifthead.node import engines
+from lifthead.node import clients, engines
 from lifthead.node.discovery import MalformedUpdateError, parse_update
 
 ABSURD = 10**400
@@ -61,6 +61,15 @@
     assert [host.final_answers(request) for request in requests] == [[]] * 4
 
 
+@pytest.mark.parametrize(("told", "counted"), [("99", 99), ("100", 100), ("999999999", 100)])
+def test_a_shared_prefix_is_no_longer_than_its_prompt(told, counted):
+    """A prefix of 10^9 tokens made an engine look as if it cached all prompts of that prefix."""
+    parser = RequestParser(clients.MAX_HEAD_BYTES, clients.MAX_BODY_BYTES)
+    parser.feed(chat(100, X_Props=f"prefix=5c0f,prompt_len=100,prefix_len={told}"))
+    request_classes = parse_deployment(flatten(SETTINGS)).request_classes
+    assert clients.parse_request(parser.next_request(), 1, request_classes).prefix_tokens == counted
+
+
 @pytest.mark.parametrize("cached", [-ABSURD, -1, MAX_TOKENS + 1, ABSURD])
 def test_an_absurd_count_of_cached_tokens_counts_as_none(cached):
     body = json.dumps({"cached_tokens": cached}).encode()
--- a/tests/test_decision_errors.py
+++ b/tests/test_decision_errors.py
@@ -4,6 +4,7 @@
 
 import pytest
 from helpers import RecordingHost, entry
+from loopback import Loopback, body, http, send_raw
 from onenode import HANG, PREFILLED, STREAM, Client, Engine, chat, exchange, run_with_node, target
 
 from lifthead.control import HEALTH_CHECK_INTERVAL, HEALTH_TIMER, WINDOW_TIMER
@@ -121,3 +122,20 @@
         host.router.on_timer(key)
     interval = HEALTH_CHECK_INTERVAL if key == HEALTH_TIMER else host.router.window
     assert host.calls("set_timer") == [("set_timer", interval, key)]
+
+
+@pytest.mark.parametrize("method", FINAL_STATUSES)
+def test_an_error_in_a_decision_costs_one_request_of_the_daemon(tmp_path, method):
+    async def scenario():
+        async with Loopback(tmp_path) as loopback:
+            host = loopback.daemon.host
+            calls = fail_once(host.router, method)
+            async with asyncio.timeout(4):
+                met = await send_raw(loopback.address, http(body(model="once")))
+                others = [await send_raw(loopback.address, http(body(str(n)))) for n in range(3)]
+                await host.idle.wait()
+            return len(calls), [int(answer.split()[1]) for answer in (met, *others)], host.pending_requests
+
+    calls, statuses, pending = asyncio.run(scenario())
+    assert (calls, statuses[1:], pending) == (1, [200] * 3, {})
+    assert statuses[0] in (200, 502, 504)
