--- a/lifthead/daemon/host.py
+++ b/lifthead/daemon/host.py
@@ -15,7 +15,7 @@
 from lifthead import control
 from lifthead.chat import codec as chat
 from lifthead.chat.codec import AnswerAssembler, ClientRequest
-from lifthead.chat.server import JSON, Reply
+from lifthead.chat.reply import JSON, Reply
 from lifthead.daemon.metrics import Metrics
 from lifthead.daemon.requests import ChatAttempt, ChatEndpoint, PendingChatRequest, UsageRecorder
 from lifthead.daemon.resuming import ResumingHost
--- a/lifthead/daemon/serve.py
+++ b/lifthead/daemon/serve.py
@@ -19,7 +19,8 @@
 
 from lifthead.chat import codec
 from lifthead.chat.codec import BadRequestError, ChatApi
-from lifthead.chat.server import ClientConnections, Reply
+from lifthead.chat.reply import Reply
+from lifthead.chat.server import ClientConnections
 from lifthead.control import Router
 from lifthead.daemon.billing import Billing
 from lifthead.daemon.host import Host, now
--- a/lifthead/hosting.py
+++ b/lifthead/hosting.py
@@ -17,7 +17,7 @@
 from typing import Any
 
 from lifthead import control
-from lifthead.chat.server import Reply
+from lifthead.chat.reply import Reply
 from lifthead.engines.codec import PROVEN_NOT_RUN, Observation
 from lifthead.engines.link import Connection, ConnectionPool
 from lifthead.guard import HELD_STATE_SLACK, Attempt, Refusal, RequestGuard, Rule, Violations, Work
--- a/lifthead/node/host.py
+++ b/lifthead/node/host.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass, field, replace
 
 from lifthead import control, hosting
-from lifthead.chat.server import Reply
+from lifthead.chat.reply import Reply
 from lifthead.engines.codec import Observation
 from lifthead.engines.link import Connection, ConnectionPool, IdleLimit, NotSentError
 from lifthead.events import Event, EventLog, Record
