--- a/review/6/test.py
+++ b/review/6/test.py
@@ -67,8 +67,8 @@
         if TROUBLE:
             fleet.record.put("bad_clients", clients=BAD_CLIENTS, requests_each=REQUESTS_EACH, prompt=PROMPT)
             crowd = subprocess.Popen(
-                [sys.executable, HERE.parent / "standins-2" / "crowd.py", fleet.listen, str(BAD_CLIENTS),
-                 str(REQUESTS_EACH), str(PROMPT), str(int(LASTS - 5))]
+                [sys.executable, HERE.parent / "standins-2" / "crowd.py", "pipelined", fleet.listen, str(BAD_CLIENTS),
+                 str(int(LASTS - 5)), str(REQUESTS_EACH), str(PROMPT)]
             )  # fmt: skip
         try:
             while fleet.record.now() < began + LASTS and not seen["killed"]:
@@ -81,7 +81,7 @@
         for task in [watch, *usual]:
             task.cancel()
         crashed = fleet.process.poll() is not None
-        cut = sum(how in ("cut", "unanswered", "hangs") for how, _, _ in ends)
+        cut = sum(how in ("cut", "unanswered", "hangs", "shut") for how, _, _ in ends)
         served = sum(how == "answered" and status == 200 for how, status, _ in ends)
         verdict = (
             f"router ended: {crashed}; most memory {seen['most']:.0f} MB of {MEMORY_MB}; "
--- a/review/standins-2/crowd.py
+++ b/review/standins-2/crowd.py
@@ -1,16 +1,21 @@
-"""Bad clients as a process of their own: each connects, sends hundreds of requests at once and reads what comes back.
+"""Bad clients as a process of their own, so that they do not hold up the usual ones.
 
-    python crowd.py HOST:PORT CLIENTS REQUESTS PROMPT SECONDS
+    python crowd.py pipelined HOST:PORT CLIENTS SECONDS REQUESTS PROMPT
+    python crowd.py silent HOST:PORT CLIENTS SECONDS
+
+`pipelined`: each connects, sends hundreds of requests at once and reads what comes back.
+`silent`: each connects, says nothing, reads what comes back, and connects again when it is shut.
 """
 
 import asyncio
 import contextlib
+import resource
 import sys
 
 from fleet import SAFE, request_bytes
 
 
-async def client(address, number, requests, prompt):
+async def pipelined(address, number, requests, prompt):
     with contextlib.suppress(OSError):
         reader, writer = await asyncio.open_connection(*address.split(":"))
 
@@ -28,11 +33,27 @@
         writer.close()
 
 
+async def silent(address):
+    while True:
+        try:
+            reader, writer = await asyncio.open_connection(*address.split(":"))
+            with contextlib.suppress(OSError):
+                while await reader.read(65536):
+                    pass
+            writer.close()
+        except OSError:
+            await asyncio.sleep(0.05)
+
+
 async def main():
-    address, clients, requests, prompt, seconds = sys.argv[1], *map(int, sys.argv[2:6])
+    kind, address, clients, seconds = sys.argv[1], sys.argv[2], int(sys.argv[3]), int(sys.argv[4])
+    more = [int(each) for each in sys.argv[5:]]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (resource.getrlimit(resource.RLIMIT_NOFILE)[1],) * 2)
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(seconds):
-            await asyncio.gather(*(client(address, each, requests, prompt) for each in range(clients)))
+            await asyncio.gather(
+                *(pipelined(address, each, *more) if kind == "pipelined" else silent(address) for each in range(clients))
+            )
 
 
 if __name__ == "__main__":
--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import resource
 import signal
 import socket
 import subprocess
@@ -349,10 +350,12 @@
             **os.environ, "NODE_CONFIG": str(path), "NODE_NAME": "n1", "NODE_LISTEN": self.listen,
             "NODE_DISCOVERY": self.discovery.address, "TMPDIR": str(temporary),
         }  # fmt: skip
+        descriptors = self.limits["sockets"]
         with open(pathlib.Path(self.folder.name) / "router.log", "ab") as log:
             self.process = subprocess.Popen(
-                ["/bin/sh", "-c", run], cwd=ROOT, env=environment, stdout=log, stderr=log
-            )
+                ["/bin/sh", "-c", run], cwd=ROOT, env=environment, stdout=log, stderr=log,
+                preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors)),
+            )  # fmt: skip
         return self.record.put("router_started", pid=self.process.pid)
 
     def router_log(self):
@@ -382,8 +385,12 @@
         self.ids += 1
         return f"{prefix}{self.ids:05d}"
 
-    async def ask(self, number=None, give_up=20.0, **request):
-        """A usual client's request on a connection of its own. Returns (how it ended, status, events)."""
+    async def ask(self, number=None, give_up=20.0, lost_after=None, **request):
+        """A usual client's request on a connection of its own. Returns (how it ended, status, events).
+
+        `lost_after`: seconds from the request's last byte to the head of the answer, after which the client
+        leaves. How it ended: answered, unanswered (no head of an answer), shut (the connection ended before
+        one), cut (it ended within the answer) or hangs (the answer has no end)."""
         number = number or self.new_id()
         self.record.put("asked", id=number, cls=request.get("request_class", SAFE))
         how, status, events, last = "unanswered", 0, 0, 0.0
@@ -392,7 +399,10 @@
             async with asyncio.timeout(give_up):
                 reader, writer = await asyncio.open_connection(*self.listen.split(":"))
                 writer.write(request_bytes(number, **request))
-                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
+                await writer.drain()
+                self.record.put("written", id=number)
+                async with asyncio.timeout(lost_after):
+                    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
                 status = int(head.split(" ")[1])
                 how = "cut"
                 if "transfer-encoding: chunked" in head:
@@ -407,7 +417,7 @@
         except TimeoutError:
             how = "unanswered" if how == "unanswered" else "hangs"
         except (OSError, asyncio.IncompleteReadError, ValueError):
-            pass
+            how = "shut" if how == "unanswered" else how
         finally:
             if writer:
                 writer.close()
