--- a/review/10/test.py
+++ b/review/10/test.py
@@ -27,7 +27,7 @@
     async with Fleet(HERE) as fleet:
         for number in range(3):
             fleet.add(f"rd{number}", "prefill")
-        writers = [fleet.add(f"wr{number}", "decode") for number in range(3)]
+        writers = [fleet.add(f"wr{number}", "decode") for number in range(2)]
         await fleet.start()
         fleet.start_router(fleet.discovery.whole())
         await fleet.ready()
@@ -46,7 +46,7 @@
         ends = []
         await fleet.ready(30.0)
         await asyncio.sleep(max(CLIENTS_COME_AFTER - (fleet.record.now() - began), 0))
-        usual = [asyncio.create_task(usual_client(fleet, ends, began + LASTS)) for _ in range(4)]
+        usual = [asyncio.create_task(usual_client(fleet, ends, began + LASTS)) for _ in range(10)]
         await asyncio.sleep(max(DOWN_FOR - (fleet.record.now() - began), 0))
         fleet.discovery.silent = False
         fleet.record.put("discovery_up")
