--- a/review/6/test.py
+++ b/review/6/test.py
@@ -9,6 +9,7 @@
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "standins-2"))
+from crowd import record_crowd  # noqa: E402
 from fleet import SAFE, UNSAFE, Fleet, run_case  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -68,7 +69,8 @@
             fleet.record.put("bad_clients", clients=BAD_CLIENTS, requests_each=REQUESTS_EACH, prompt=PROMPT)
             crowd = subprocess.Popen(
                 [sys.executable, HERE.parent / "standins-2" / "crowd.py", "pipelined", fleet.listen, str(BAD_CLIENTS),
-                 str(int(LASTS - 5)), str(REQUESTS_EACH), str(PROMPT)]
+                 str(int(LASTS - 5)), str(REQUESTS_EACH), str(PROMPT)],
+                stdout=subprocess.PIPE,
             )  # fmt: skip
         try:
             while fleet.record.now() < began + LASTS and not seen["killed"]:
@@ -76,8 +78,7 @@
             await asyncio.wait(usual, timeout=15)
         finally:
             if crowd:
-                crowd.kill()
-                crowd.wait()
+                record_crowd(crowd, fleet.record)
         for task in [watch, *usual]:
             task.cancel()
         crashed = fleet.process.poll() is not None
