A restart uses its old list of engines only once discovery has spoken

Cause: node/serve.py took the list of the configuration for current after FIRST_UPDATE_TIMEOUT without a word, and applied it at the start. Evidence: in the record all late attempts fall between the 200 of GET /ready and the return of discovery; without the outage there are none. Change: node/initial_list.py applies that list at the first line of discovery. Until then requests are rejected. While discovery stays silent GET /ready says 200 after 9 s, as nine in ten restarts have 10 s, and requests are rejected further; after 28 s the list is used, as a router has 30 s.

--- a/lifthead/node/discovery.py
+++ b/lifthead/node/discovery.py
@@ -179,13 +179,17 @@
         on_update: Callable[[EngineListUpdate], None],
         seed: int = 0,
         shared: bool = False,
+        on_line: Callable[[], None] = lambda: None,
     ) -> None:
-        """`shared`: all routers of the fleet use one discovery service."""
+        """`shared`: all routers of the fleet use one discovery service. `on_line` is called at each complete
+        line before its update is applied; an empty one shows that the current version is the newest."""
         self.address = address
         self._shared = shared
         self.version = version
-        self.has_update = False  # whether a complete line was ever received
         self._on_update = on_update
+        self._on_line = on_line
+        self._was_reached = False
+        self.is_absent = False  # whether nothing has ever listened at its address: each call was refused
         self._random = random.Random(seed)
         self._consecutive_failures = 0  # calls in a row that brought no complete line
         self._consecutive_malformed = 0  # calls in a row that a malformed update or a refusal ended
@@ -212,6 +216,8 @@
             try:
                 await self._watch_once(address)
             except (OSError, TimeoutError, HttpError, MalformedUpdateError) as error:
+                self._was_reached = self._was_reached or not isinstance(error, ConnectionRefusedError)
+                self.is_absent = not self._was_reached
                 self._consecutive_malformed += isinstance(error, MalformedUpdateError)
                 self._log_once(f"the watch at {address} ended: {str(error)[:200] or type(error).__name__}")
                 if self._shared and isinstance(error, WatchRefusedError):
@@ -234,6 +240,7 @@
         async with asyncio.timeout(CONNECT_TIMEOUT):
             reader, writer = await asyncio.open_connection(*address, limit=READ_BYTES)
         self._writer = writer
+        self._was_reached, self.is_absent = True, False
         try:
             if address != self.address:
                 return
@@ -254,11 +261,14 @@
                     if head and head.status != 200:
                         raise WatchRefusedError(f"status {head.status}")
                     for line in received_lines:
-                        if update := assembler.feed(line):
+                        update = assembler.feed(line)
+                        if assembler.is_empty:
+                            self._on_line()
+                        if update:
                             self.version, self._consecutive_malformed = update.version, 0
                             self._on_update(update)
                         if assembler.is_empty:
-                            self.has_update, self._consecutive_failures, self._last_logged = True, 0, ""
+                            self._consecutive_failures, self._last_logged = 0, ""
                             silence_timeout.reschedule(asyncio.get_running_loop().time() + SILENCE_TIMEOUT)
         finally:
             self._writer = None
--- a/lifthead/node/host.py
+++ b/lifthead/node/host.py
@@ -73,7 +73,7 @@
         self.max_connections = config.max_engine_connections
         self.memory = MemoryPool(config.buffer_capacity)  # for what clients and engines send
         self.close_idle_client: Callable[[], object] = bool  # closes the connection of an idle client
-        self.list_is_current: Callable[[], bool] = lambda: True  # whether the list is known to be up to date
+        self.is_ready: Callable[[], bool] = self.can_serve  # whether clients may come
         self._idle_connections: dict[
             Connection, ConnectionPool
         ] = {}  # to engines, the longest idle one first
@@ -109,7 +109,7 @@
     async def answer(self, message: Message, reply: Reply) -> None:
         """Serves a client's message until its answer is complete."""
         if message.path == clients.READY_PATH and message.method == "GET":
-            return reply.send_whole(200 if self._can_serve and self.list_is_current() else 503, b"")
+            return reply.send_whole(200 if self.is_ready() else 503, b"")
         try:
             spec = clients.parse_request(
                 message, self._next_id, self._request_classes, self.queueing_time(message)
@@ -136,8 +136,14 @@
         await reply.finished.wait()
         self._forget(pending)
 
-    @property
-    def _can_serve(self) -> bool:
+    def has_servable(self, update: EngineListUpdate) -> bool:
+        """Whether a list has any engine that is ready for requests."""
+        return any(
+            entry.readiness == "ready" and entry.kind in self._roles and address
+            for entry, address in update.entries
+        )
+
+    def can_serve(self) -> bool:
         """Whether any engine is ready for requests."""
         return any(
             endpoint.readiness == "ready" and endpoint.kind in self._roles
--- a/lifthead/node/serve.py
+++ b/lifthead/node/serve.py
@@ -7,12 +7,14 @@
 import signal
 import socket
 import sys
+import time
 from dataclasses import dataclass
 
 from lifthead.chat.server import ClientConnections
 from lifthead.node import clients, start
 from lifthead.node.discovery import Watch
 from lifthead.node.host import Host
+from lifthead.node.initial_list import InitialList
 from lifthead.node.signals import block_signals_at_exit, early_reload
 from lifthead.node.start import ConfigError, NodeConfig
 
@@ -21,8 +23,6 @@
 ACCEPT_CONNECTIONS_FOR = 0.55
 # Seconds after SIGTERM for which new requests are accepted: a later one may not be answered before SIGKILL.
 ACCEPT_REQUESTS_FOR = 0.7
-# Seconds to wait for the first update of discovery: until then the list of the configuration may be outdated.
-FIRST_UPDATE_TIMEOUT = 0.3
 
 log = logging.getLogger("lifthead.node")
 
@@ -48,7 +48,8 @@
     return listening_socket
 
 
-async def serve(path: str, config: NodeConfig) -> None:
+async def serve(path: str, config: NodeConfig, started_at: float) -> None:
+    """Runs the router until SIGTERM. `started_at`: when the process started, on the monotonic clock."""
     loop = asyncio.get_running_loop()
     stop, reload = asyncio.Event(), asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
@@ -59,12 +60,17 @@
     async with asyncio.TaskGroup() as tasks:
         host = Host(config, tasks)
         loop.add_signal_handler(signal.SIGUSR1, host.events.dump, "SIGUSR1")
-        if config.initial_list:
-            host.on_list_update(config.initial_list)
-            host.start_times.reset()  # the list of the configuration may be outdated
+        initial_list = InitialList(host, config.initial_list, started_at, lambda: watch.is_absent)
         version = config.initial_list.version if config.initial_list else 0
         shared = config.deployment.list_on_request
-        watch = Watch(config.discovery, version, host.on_list_update, config.deployment.seed, shared)
+        watch = Watch(
+            config.discovery,
+            version,
+            host.on_list_update,
+            config.deployment.seed,
+            shared,
+            initial_list.on_discovery_line,
+        )
         client_listener = ClientConnections(
             ClientLimits(config.max_client_connections),
             host.answer,
@@ -73,8 +79,7 @@
             host.memory,
         )
         host.close_idle_client = client_listener.evict_idle
-        list_deadline = loop.time() + FIRST_UPDATE_TIMEOUT
-        host.list_is_current = lambda: watch.has_update or loop.time() > list_deadline
+        host.is_ready = lambda: initial_list.is_ready(host.can_serve)
         listening_socket = open_listening_socket(config.listen)
         background_tasks = [
             tasks.create_task(watch.run()),
@@ -95,6 +100,7 @@
         await client_listener.wait_closed()
         for task in background_tasks:
             task.cancel()
+        initial_list.close()
         host.close()
     host.check_held_states(at_exit=True)
     block_signals_at_exit()
@@ -120,11 +126,14 @@
         host.memory.capacity = config.buffer_capacity
 
 
-def main() -> None:
+def main(started_at: float | None = None) -> None:
+    """Runs the router of the configuration file at NODE_CONFIG. `started_at`: when the process started, on
+    the monotonic clock; now if it is not given."""
+    started_at = time.monotonic() if started_at is None else started_at
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
     path = os.environ.get("NODE_CONFIG", "")
     try:
         config = start.read_config(path)
     except ConfigError as error:
         sys.exit(f"lifthead.node: {error}")
-    asyncio.run(serve(path, config))
+    asyncio.run(serve(path, config, started_at))
