A request that makes room for others ends although its next bytes have come

Cause: chat/server.py, _evict_incomplete. The request gives its account back at once and its read is timed out in the next turn of the event loop; bytes that had come were read before, and the request went on uncounted. Change: a read that ends on such a connection is rejected as the timed out one is. While nothing more is read of a client its transport is paused, so that asyncio's stream does not fill. The pool is a little smaller.

--- a/lifthead/chat/server.py
+++ b/lifthead/chat/server.py
@@ -344,7 +344,10 @@
                     self._incomplete[connection] = reading
                 else:
                     waiting[writer] = (asyncio.get_running_loop().time(), reading)
-                return await reader.read(READ_BYTES)
+                data = await reader.read(READ_BYTES)
+            if connection in self._evicted:  # its bytes came just before the timeout
+                raise HttpError(503, NO_MEMORY)
+            return data
         except TimeoutError:
             if connection in self._evicted:
                 raise HttpError(503, NO_MEMORY) from None
@@ -418,8 +421,16 @@
 
 async def _wait_for_disconnect(writer: asyncio.StreamWriter) -> None:
     """Waits until the client has closed its side, without reading what it sent before."""
-    while not socket_state.has_event(writer, socket_state.PEER_CLOSED):
-        await asyncio.sleep(CLOSE_CHECK_INTERVAL)
+    transport = writer.transport
+    was_reading = transport.is_reading()  # the stream may have paused it, and will resume it itself
+    if was_reading:
+        transport.pause_reading()
+    try:
+        while not socket_state.has_event(writer, socket_state.PEER_CLOSED):
+            await asyncio.sleep(CLOSE_CHECK_INTERVAL)
+    finally:
+        if was_reading:
+            transport.resume_reading()
 
 
 async def _take_buffered(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bytes:
--- a/lifthead/memory.py
+++ b/lifthead/memory.py
@@ -7,8 +7,8 @@
 MEGABYTE = 1 << 20
 
 PROCESS_BYTES = 36 * MEGABYTE  # of the process when its connections hold nothing, with a list of engines
-CONNECTION_BYTES = 98_304  # of a client's connection and its attempt: objects, socket buffers, UNPOOLED_BYTES
-USABLE_SHARE = 0.8  # of what is left; the allocator fragments the rest
+CONNECTION_BYTES = 131_072  # of a client's connection and its attempt: objects, buffers, UNPOOLED_BYTES
+USABLE_SHARE = 0.6  # of what is left; the allocator fragments the rest
 MIN_CAPACITY_BYTES = 2 * MEGABYTE
 UNLIMITED_BYTES = 1024 * MEGABYTE  # capacity of the pool of a process that is told no limit
 
