--- a/lifthead/node/engines.py
+++ b/lifthead/node/engines.py
@@ -20,7 +20,6 @@
 MAX_CHUNK_BYTES = 262_144  # of a chunk, of an event, or of the comments before the first event
 MAX_REPORT_BYTES = 16_384  # of a load report, wherever it comes: what the head of an answer may hold
 MAX_ANSWER_BYTES = 262_144  # of an answer that is not a stream
-STREAM_SILENCE_TIMEOUT = 3.8  # seconds without an event on a begun stream; a client may have to wait for 5
 MAX_RECONNECTS = 2  # for an attempt whose connections are reset before all of it is written
 IDLE_FRACTION = 0.6  # of the engine's idle timeout, for which an unused connection counts as usable
 NEVER_RAN_HEADER = "x-never-ran"
--- a/lifthead/node/host.py
+++ b/lifthead/node/host.py
@@ -26,6 +26,7 @@
 from lifthead.node import clients, engines
 from lifthead.node.discovery import EngineListUpdate
 from lifthead.node.start import NodeConfig
+from lifthead.node.stream_silence import StreamSilence
 
 PROBE_TIMEOUT = 0.5  # seconds; a probe that times out is reported without a load report
 CONNECTION_CHECK_TIMEOUT = 0.1  # seconds for a reused connection to show that it still works
@@ -291,10 +292,11 @@
             pending.guard.on_leased(attempt, now())
             self._note_event(pending, Event.LEASED, attempt)
             return observation, engines.cached_tokens_in(body), report
-        memory = self.memory.open_account()
+        memory, silence = self.memory.open_account(), StreamSilence(timeout)
         try:
-            return await self._relay_stream(pending, attempt, connection, timeout, memory)
+            return await self._relay_stream(pending, attempt, connection, silence, memory)
         finally:
+            silence.suspend()
             memory.close()
 
     async def _relay_stream(
@@ -302,13 +304,13 @@
         pending: PendingRequest,
         attempt: AttemptInFlight,
         connection: Connection,
-        timeout: asyncio.Timeout,
+        silence: StreamSilence,
         memory: MemoryAccount,
     ) -> tuple[Observation, int, LoadReport | None]:
         """Relays the events of a decode engine as they arrive. Another attempt is possible until the first
-        one has arrived. From then on only another event restarts the silence timeout: other bytes, such as
+        one has arrived. From then on only another event restarts the clock of `silence`: other bytes, such as
         comments or half an event, leave the client waiting. `memory`: for what waits here."""
-        events, timer_set_at = engines.EventStream(), 0.0
+        events = engines.EventStream()
         while data := await connection.read_body():
             previous_event_count = events.event_count
             complete_events = events.feed(data)
@@ -333,12 +335,10 @@
                 has_room = pending.reply.send(complete_events) if complete_events else True
             if not has_room:
                 if has_progressed:
-                    timeout.reschedule(None)  # a slow client is not a silent engine
-                    timer_set_at = 0.0
+                    silence.suspend()  # a slow client is not a silent engine
                 await pending.reply.wait_writable()
-            if has_progressed and self._loop.time() > timer_set_at + engines.STREAM_SILENCE_TIMEOUT / 8:
-                timer_set_at = self._loop.time()
-                timeout.reschedule(timer_set_at + engines.STREAM_SILENCE_TIMEOUT * 9 / 8)
+            if has_progressed:
+                silence.on_event()
         if not pending.answer_started or not events.is_complete:
             raise HttpError(502, "incomplete stream")
         if self._set_final_answer(pending, "done"):
--- a/tests/test_stream_progress.py
+++ b/tests/test_stream_progress.py
@@ -8,11 +8,10 @@
 
 from lifthead.engines import codec
 from lifthead.http1 import HttpError
-from lifthead.node import engines
+from lifthead.node import engines, stream_silence
 
 SILENCE_TIMEOUT = 0.4  # seconds
-# The timer is set again after an eighth of the timeout at the earliest, and a chunk may be under way.
-ENDS_WITHIN = SILENCE_TIMEOUT * 9 / 8 + 0.5
+ENDS_WITHIN = SILENCE_TIMEOUT + 0.5  # a chunk may be under way
 PAUSE = 0.05  # seconds between two pieces of what an engine sends
 HUGE_CHUNK = b"%X\r\n" % (3 << 30)
 NO_PROGRESS = {  # what comes first, and what then comes again and again
@@ -30,7 +29,7 @@
 
 @pytest.fixture(autouse=True)
 def short_silence_timeout(monkeypatch):
-    monkeypatch.setattr(engines, "STREAM_SILENCE_TIMEOUT", SILENCE_TIMEOUT)
+    monkeypatch.setattr(stream_silence, "STREAM_SILENCE_TIMEOUT", SILENCE_TIMEOUT)
 
 
 def endless(first, again):
