A discovery that takes up to 4.5 s to answer is heard: every second call waits longer

A router that restarts would now wait for such a discovery in vain. Cause: node/discovery.py gave each call 2.9 s for its first line, which is the limit between the lines of an open watch; the next call began anew with the same limit. Change: while no line comes, every second call in a row has 4.5 s.

--- a/lifthead/node/discovery.py
+++ b/lifthead/node/discovery.py
@@ -27,6 +27,9 @@
 # whatever happened to earlier calls. The slowest recovery is from a call that has just been made and hangs:
 # the silence timeout, the longest retry pause and the connect timeout one after the other. All are seconds.
 SILENCE_TIMEOUT = 2.9  # without a complete line; discovery sends an empty one every 2 s while nothing changes
+# The same for the first line of every second call in a row that brings none: discovery may be slow and not
+# silent. With a pause and the connect timeout this stays within the 6 s as well.
+SLOW_ANSWER_TIMEOUT = 4.5
 CONNECT_TIMEOUT = 0.5
 MAX_RETRY_PAUSES = (0.1, 0.4)  # before the next call, after one failure and after many in a row
 # A shared discovery service serves the whole fleet, and refusing a call costs it as much as answering one.
@@ -192,6 +195,7 @@
         self.is_absent = False  # whether nothing has ever listened at its address: each call was refused
         self._random = random.Random(seed)
         self._consecutive_failures = 0  # calls in a row that brought no complete line
+        self._consecutive_silent = 0  # calls in a row that brought no complete line in time
         self._consecutive_malformed = 0  # calls in a row that a malformed update or a refusal ended
         self._last_logged = ""
         self._writer: asyncio.StreamWriter | None = None
@@ -218,6 +222,7 @@
             except (OSError, TimeoutError, HttpError, MalformedUpdateError) as error:
                 self._was_reached = self._was_reached or not isinstance(error, ConnectionRefusedError)
                 self.is_absent = not self._was_reached
+                self._consecutive_silent += isinstance(error, TimeoutError)
                 self._consecutive_malformed += isinstance(error, MalformedUpdateError)
                 self._log_once(f"the watch at {address} ended: {str(error)[:200] or type(error).__name__}")
                 if self._shared and isinstance(error, WatchRefusedError):
@@ -251,7 +256,9 @@
             line_decoder, assembler = http1.LineParser(MAX_UPDATE_BYTES), UpdateAssembler()
             # Only a complete line or update resets the timeout: half a line, or an object that never ends, is
             # no better than silence.
-            async with asyncio.timeout(SILENCE_TIMEOUT) as silence_timeout:
+            is_patient = self._consecutive_silent % 2 == 1
+            first_timeout = SLOW_ANSWER_TIMEOUT if is_patient else SILENCE_TIMEOUT
+            async with asyncio.timeout(first_timeout) as silence_timeout:
                 while not line_decoder.answer.complete:
                     data = await reader.read(READ_BYTES)
                     # Data still buffered from an old address may be older than the new address's list.
@@ -269,6 +276,7 @@
                             self._on_update(update)
                         if assembler.is_empty:
                             self._consecutive_failures, self._last_logged = 0, ""
+                            self._consecutive_silent = 0
                             silence_timeout.reschedule(asyncio.get_running_loop().time() + SILENCE_TIMEOUT)
         finally:
             self._writer = None
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -252,3 +252,37 @@
     update = discovery.parse_update(json.dumps({"rev": 1, "all": True, "targets": targets}).encode())
     found = [(entry.readiness, address) for entry, address in update.entries]
     assert found == [("draining", "")] * len(addresses) + [("ready", "a:1")]
+
+
+@pytest.mark.parametrize("delay", [0.0, 2.8, 3.5, 4.3])
+def test_a_discovery_that_answers_slowly_is_heard(delay):
+    """Guards against review/9: each call was given up after 2.9 s, so that a slower one was never heard."""
+
+    async def scenario():
+        loop, received = asyncio.get_running_loop(), asyncio.Event()
+
+        async def serve(reader, writer):
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                await reader.readuntil(b"\r\n\r\n")
+                await asyncio.sleep(delay)
+                writer.write(STREAM_HEAD + encode_chunk(NEW))
+                await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        watch = Watch(server.sockets[0].getsockname(), 41, lambda update: received.set())
+        started_at, task = loop.time(), asyncio.create_task(watch.run())
+        async with asyncio.timeout(20):
+            await received.wait()
+        took = loop.time() - started_at
+        task.cancel()
+        server.close()
+        return took
+
+    longest_first_call = discovery.SILENCE_TIMEOUT + discovery.MAX_RETRY_PAUSES[0] + 0.3
+    assert asyncio.run(scenario()) < longest_first_call + delay
+
+
+def test_a_call_that_hangs_behind_another_is_given_up_in_time():
+    slowest = discovery.SLOW_ANSWER_TIMEOUT + max(discovery.MAX_RETRY_PAUSES) + discovery.CONNECT_TIMEOUT
+    assert slowest < UPDATE_DEADLINE - 0.5
