--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -345,13 +345,17 @@
         server.close()
         with contextlib.suppress(NotSentError, OSError):
             await sending
+            async with asyncio.timeout(5):
+                while reads and not received:  # the system may still hold the last bytes
+                    await asyncio.sleep(0.01)
             return most, "written"
         return most, "not written"
 
     most, outcome = asyncio.run(scenario())
     assert most <= 32_768
     assert outcome == ("written" if reads else "not written")
-    assert (received == [b"head" + body]) == reads
+    is_whole = received == [b"head" + body]  # a comparison of megabytes is not to be printed
+    assert is_whole == reads
 
 
 def test_the_error_of_a_callback_is_reported_as_it_is():
