--- a/lifthead/node/host.py
+++ b/lifthead/node/host.py
@@ -21,12 +21,12 @@
 from lifthead.guard import RequestGuard, Rule, Work
 from lifthead.hosting import AttemptInFlight, BaseHost, now, wall_clock_offset
 from lifthead.http1 import HttpError, Message
-from lifthead.interface import Idempotency, LoadReport
-from lifthead.memory import UNPOOLED_BYTES, MemoryAccount, MemoryPool
+from lifthead.interface import Idempotency
+from lifthead.memory import MemoryPool
 from lifthead.node import clients, engines
 from lifthead.node.discovery import EngineListUpdate
 from lifthead.node.start import NodeConfig
-from lifthead.node.stream_silence import StreamSilence
+from lifthead.node.stream_relay import AttemptResult, StreamRelay
 
 PROBE_TIMEOUT = 0.5  # seconds; a probe that times out is reported without a load report
 CONNECTION_CHECK_TIMEOUT = 0.1  # seconds for a reused connection to show that it still works
@@ -182,7 +182,7 @@
         attempt.started = True
         endpoint = self.endpoints[attempt.engine]
         connection: Connection | None = None
-        observation, cached_tokens, report = Observation.CALLED_OFF, 0, None
+        result = AttemptResult(Observation.CALLED_OFF)
         self._note_event(pending, Event.CONNECTING, attempt)
         self._connections_in_use += 1
         self._enforce_connection_limit()
@@ -201,32 +201,33 @@
                     connection = None
                     try:
                         connection = await self._connect(pending, attempt, endpoint, fresh)
-                        observation, cached_tokens, report = await self._send_and_receive(
+                        result = await self._send_and_receive(
                             pending, attempt, endpoint, connection, timeout, abandon_at
                         )
                         break
                     except NotSentError:  # reset before all of it was written: the engine ran none of it
-                        observation = Observation.NO_CONNECTION
+                        result = AttemptResult(Observation.NO_CONNECTION)
                         if connection:
                             connection.abort()
         except TimeoutError:
-            observation = Observation.OUT_OF_TIME if connection else Observation.NO_CONNECTION
+            result = AttemptResult(Observation.OUT_OF_TIME if connection else Observation.NO_CONNECTION)
             if pending.answer_started:
-                observation = Observation.STALLED
+                result = AttemptResult(Observation.STALLED)
                 _log_once(endpoint, attempt.engine, "no event came on a stream, which was cut")
         except asyncio.CancelledError:
             if not attempt.cancelled:
                 raise  # the process ends
-            observation = Observation.CALLED_OFF
+            result = AttemptResult(Observation.CALLED_OFF)
         except OSError:
-            observation = Observation.CUT if connection else Observation.NO_CONNECTION
+            result = AttemptResult(Observation.CUT if connection else Observation.NO_CONNECTION)
         except HttpError as error:
-            observation = Observation.STRANGE
+            result = AttemptResult(Observation.STRANGE)
             _log_once(endpoint, attempt.engine, f"malformed answer: {error.reason[:120]}")
         except Exception:  # a bug that this request meets must not affect the others
-            observation = Observation.CUT
+            result = AttemptResult(Observation.CUT)
             log.exception("attempt at engine %s failed", attempt.engine)
         self._connections_in_use -= 1
+        observation = result.observation
         if connection and observation is Observation.CUT:
             endpoint.link.record_broken(connection)
         elif connection and connection.uses and not connection.answered:
@@ -235,7 +236,7 @@
             reason = f"reason={observation.name.lower()} work={attempt.work.value}"
             self._report_event(pending, Event.CONNECTION_CLOSED, attempt, f"{reason} {connection or ''}")
         await self._return_connection(pending, attempt, endpoint, connection, observation)
-        self._finish_attempt(pending, attempt, observation, cached_tokens, report)
+        self._finish_attempt(pending, attempt, result)
 
     async def _connect(
         self, pending: PendingRequest, attempt: AttemptInFlight, endpoint: Endpoint, fresh: bool
@@ -263,11 +264,10 @@
         connection: Connection,
         timeout: asyncio.Timeout,
         due_at: int,
-    ) -> tuple[Observation, int, LoadReport | None]:
-        """Sends an attempt and reads its answer. Returns what was observed, the prompt tokens that were found
-        in the prefix cache, and the load report that came with the answer."""
+    ) -> AttemptResult:
+        """Sends an attempt and reads its answer."""
         if refused := self._check_before_sending(pending, attempt, endpoint):
-            return refused, 0, None
+            return AttemptResult(refused)
         self._note_event(pending, Event.SENDING, attempt, f"uses={connection.uses}")
         head = engines.encode_attempt_head(pending.message, due_at - attempt.sent_at)
         await connection.send(head, pending.message.body)
@@ -288,72 +288,31 @@
         if observation:
             body = await connection.read_whole_body(engines.MAX_ANSWER_BYTES)
             if observation is not Observation.READ:
-                return observation, 0, report
+                return AttemptResult(observation, report=report)
             pending.guard.on_leased(attempt, now())
             self._note_event(pending, Event.LEASED, attempt)
-            return observation, engines.cached_tokens_in(body), report
-        memory, silence = self.memory.open_account(), StreamSilence(timeout)
-        try:
-            return await self._relay_stream(pending, attempt, connection, silence, memory)
-        finally:
-            silence.suspend()
-            memory.close()
-
-    async def _relay_stream(
-        self,
-        pending: PendingRequest,
-        attempt: AttemptInFlight,
-        connection: Connection,
-        silence: StreamSilence,
-        memory: MemoryAccount,
-    ) -> tuple[Observation, int, LoadReport | None]:
-        """Relays the events of a decode engine as they arrive. Another attempt is possible until the first
-        one has arrived. From then on only another event restarts the clock of `silence`: other bytes, such as
-        comments or half an event, leave the client waiting. `memory`: for what waits here."""
-        events = engines.EventStream()
-        while data := await connection.read_body():
-            previous_event_count = events.event_count
-            complete_events = events.feed(data)
-            memory.hold(events.buffered_bytes + pending.reply.unsent_bytes)
-            if events.buffered_bytes > UNPOOLED_BYTES and not memory.may_grow():
-                raise HttpError(502, "no memory is left for the rest of an event or for more comments")
-            if not events.begun:
-                continue
-            has_progressed = events.event_count > previous_event_count
-            if pending.final_answer:
-                return Observation.CALLED_OFF, 0, None
-            if not pending.answer_started:
-                pending.answer_started = True
-                pending.guard.on_first_token(attempt, now())
-                self._release_tasks.update(pending.guard)
-                self._note_event(pending, Event.FETCHED, attempt)
-                pending.message.body = b""  # no other attempt follows, and a stream may last long
-                self.router.on_first_token(pending.id, attempt.number, now() - attempt.sent_at)
-                pending.reply.begin({}, complete_events)
-                has_room = True
-            else:
-                has_room = pending.reply.send(complete_events) if complete_events else True
-            if not has_room:
-                if has_progressed:
-                    silence.suspend()  # a slow client is not a silent engine
-                await pending.reply.wait_writable()
-            if has_progressed:
-                silence.on_event()
-        if not pending.answer_started or not events.is_complete:
-            raise HttpError(502, "incomplete stream")
+            return AttemptResult(observation, engines.cached_tokens_in(body), report)
+        return await StreamRelay(pending, attempt, connection, timeout, self.memory).run(self)
+
+    def on_stream_begun(self, pending: PendingRequest, attempt: AttemptInFlight) -> None:
+        """The first event of a stream has come: the request belongs to this attempt."""
+        pending.answer_started = True
+        pending.guard.on_first_token(attempt, now())
+        self._release_tasks.update(pending.guard)
+        self._note_event(pending, Event.FETCHED, attempt)
+        pending.message.body = b""  # no other attempt follows, and a stream may last long
+        self.router.on_first_token(pending.id, attempt.number, now() - attempt.sent_at)
+
+    def on_stream_complete(self, pending: PendingRequest) -> None:
+        """All events of a stream and its last chunk have come."""
         if self._set_final_answer(pending, "done"):
             pending.reply.end()
-        return Observation.WRITTEN, events.cached_tokens, events.report
 
     def _finish_attempt(
-        self,
-        pending: PendingRequest,
-        attempt: AttemptInFlight,
-        observation: Observation,
-        cached_tokens: int,
-        report: LoadReport | None,
+        self, pending: PendingRequest, attempt: AttemptInFlight, result: AttemptResult
     ) -> None:
         """Reports how an attempt ended. A stream that broke off ends without its last chunk at the client."""
+        observation = result.observation
         outcome, outcome_note = engines.OUTCOMES[observation]
         self._on_attempt_ended(pending, attempt, observation)
         if pending.answer_started and self._set_final_answer(pending, "broken"):
@@ -370,9 +329,9 @@
                 attempt.engine,
                 outcome,
                 took_us,
-                cached_tokens or outcome_note,
+                result.cached_tokens or outcome_note,
                 final,
-                report,
+                result.report,
             )
         if pending.final_answer and pending.attempt is None:
             # The decision module may have forgotten the request; its state must still be released in time.
