Each broken stream is logged: its last event, its end mark, its reason, a late timer

The records of the incident end before its losses, and the line about a cut stream came once per engine, without a request, so they can't answer when a lost stream had its last event and why it ended. Now an event stream_broken is logged for each, with how late the timer fired.

--- a/lifthead/events.py
+++ b/lifthead/events.py
@@ -22,6 +22,7 @@
     SENT = "attempt_written"
     CONFIRMED = "attempt_confirmed"
     ENDED = "attempt_ended"
+    STREAM_BROKEN = "stream_broken"
     CANCELLED = "attempt_cancelled"
     CONNECTION_CLOSED = "connection_closed"
     LEASED = "state_leased"
--- a/lifthead/node/host.py
+++ b/lifthead/node/host.py
@@ -39,6 +39,7 @@
 SWEEP_INTERVAL = 0.5  # seconds
 LOGGED_LOOP_DELAY = 200_000  # microseconds of delay of the event loop above which it is logged
 MAX_LOGGED_PER_ENGINE = 8  # different warnings
+MAX_LOGGED_REASON = 120  # characters of why an answer can't be used
 FORGET_GONE_AFTER = 20_000_000  # microseconds after which a gone engine is forgotten; it may return before
 
 log = logging.getLogger(__name__)
@@ -50,6 +51,7 @@
 
     request_class: str
     message: Message
+    stream: StreamRelay | None = None  # of the attempt whose answer the client gets
 
 
 @dataclass(slots=True, eq=False)
@@ -212,7 +214,7 @@
         except TimeoutError:
             result = AttemptResult(Observation.OUT_OF_TIME if connection else Observation.NO_CONNECTION)
             if pending.answer_started:
-                result = AttemptResult(Observation.STALLED)
+                result = AttemptResult(Observation.STALLED, reason="no event for too long")
                 _log_once(endpoint, attempt.engine, "no event came on a stream, which was cut")
         except asyncio.CancelledError:
             if not attempt.cancelled:
@@ -221,8 +223,9 @@
         except OSError:
             result = AttemptResult(Observation.CUT if connection else Observation.NO_CONNECTION)
         except HttpError as error:
-            result = AttemptResult(Observation.STRANGE)
-            _log_once(endpoint, attempt.engine, f"malformed answer: {error.reason[:120]}")
+            reason = error.reason[:MAX_LOGGED_REASON]
+            result = AttemptResult(Observation.STRANGE, reason=reason)
+            _log_once(endpoint, attempt.engine, f"malformed answer: {reason}")
         except Exception:  # a bug that this request meets must not affect the others
             result = AttemptResult(Observation.CUT)
             log.exception("attempt at engine %s failed", attempt.engine)
@@ -292,7 +295,8 @@
             pending.guard.on_leased(attempt, now())
             self._note_event(pending, Event.LEASED, attempt)
             return AttemptResult(observation, engines.cached_tokens_in(body), report)
-        return await StreamRelay(pending, attempt, connection, timeout, self.memory).run(self)
+        pending.stream = StreamRelay(pending, attempt, connection, timeout, self.memory)
+        return await pending.stream.run(self)
 
     def on_stream_begun(self, pending: PendingRequest, attempt: AttemptInFlight) -> None:
         """The first event of a stream has come: the request belongs to this attempt."""
@@ -317,6 +321,8 @@
         self._on_attempt_ended(pending, attempt, observation)
         if pending.answer_started and self._set_final_answer(pending, "broken"):
             self._end_broken_answer(pending)
+            reason = result.reason or observation.value
+            self._report_event(pending, Event.STREAM_BROKEN, attempt, f"{pending.stream} reason={reason!r}")
         final = pending.final_answer != ""
         took_us = now() - attempt.sent_at
         self._note_event(
--- a/lifthead/node/stream_relay.py
+++ b/lifthead/node/stream_relay.py
@@ -19,12 +19,13 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptResult:
-    """What was observed of an attempt, the prompt tokens that were found in the prefix cache, and the load
-    report that came with the answer."""
+    """What was observed of an attempt, the prompt tokens that were found in the prefix cache, the load report
+    that came with the answer, and why the answer can't be used, for the log."""
 
     observation: Observation
     cached_tokens: int = 0
     report: LoadReport | None = None
+    reason: str = ""
 
 
 class StreamListener(Protocol):
@@ -54,6 +55,15 @@
         self._silence = StreamSilence(timeout)
         self._memory = memory.open_account()  # for what waits here
 
+    def __str__(self) -> str:
+        """For the log: how far the stream had come, and how late the timer was that ended it."""
+        end_mark = "yes" if self._events.ended else "no"
+        return (
+            f"events={self._events.event_count} last_event_ms={self._silence.silent_for * 1e3:.0f} "
+            f"end_mark={end_mark} partial_bytes={self._events.buffered_bytes} "
+            f"timer_late_ms={self._silence.late_by * 1e3:.0f}"
+        )
+
     async def run(self, listener: StreamListener) -> AttemptResult:
         """Relays to the end of the stream. Raises HttpError if it violates the protocol, OSError if the
         connection breaks; the timeout expires if no event comes for too long."""
--- a/lifthead/node/stream_silence.py
+++ b/lifthead/node/stream_silence.py
@@ -21,6 +21,12 @@
         self._loop = asyncio.get_running_loop()
         self._last_event_at = 0.0
         self._timer: asyncio.Handle | None = None
+        self.late_by = 0.0  # seconds by which the timer fired late, once the timeout has expired
+
+    @property
+    def silent_for(self) -> float:
+        """Seconds since the last event."""
+        return self._loop.time() - self._last_event_at
 
     def on_event(self) -> None:
         """Notes that an event was passed on. The first one replaces what the timeout was set to."""
@@ -45,4 +51,5 @@
             self._timer = self._loop.call_soon(self._check, turns_left - 1)
         else:
             self._timer = None
+            self.late_by = self._loop.time() - due_at
             self._timeout.reschedule(self._loop.time())
--- a/tests/test_stream_silence.py
+++ b/tests/test_stream_silence.py
@@ -125,3 +125,30 @@
         return data
 
     assert asyncio.run(scenario()) == b"x"
+
+
+@pytest.mark.parametrize(
+    "last, expected",
+    [
+        ([HANG], ["events=2 ", "end_mark=no", "reason='no event for too long'"]),
+        ([encode_chunk(END), HANG], ["events=4 ", "end_mark=yes", "timer_late_ms="]),
+        ([b"zz\r\n"], ["events=2 ", "last_event_ms=", "reason='not HTTP: "]),
+    ],
+    ids=["silence", "no last chunk", "noise"],
+)
+def test_each_broken_stream_is_logged_with_what_it_brought(last, expected, monkeypatch):
+    """The records of an incident could not answer when a lost stream had its last event, or why it ended."""
+    monkeypatch.setattr(stream_silence, "STREAM_SILENCE_TIMEOUT", SHORT_TIMEOUT_S)
+
+    async def scenario(node):
+        for trace in ("a1", "a2"):
+            async with Client(node.address) as client:
+                await client.send(chat(100, trace=trace))
+                await last_event_and_end(client)
+        return [str(each) for trace in ("a1", "a2") for each in node.host.events.for_request(trace)]
+
+    script = [HEAD + encode_chunk(EVENT), 0.1, encode_chunk(EVENT), 0.05, *last]
+    lines = run_with_node(scenario, w1=Engine(script, script))
+    broken = [line for line in lines if line.startswith("stream_broken")]
+    assert len(broken) == 2
+    assert all(word in line for word in expected for line in broken)
