Nothing but comments and the last chunk may follow a stream's end mark

Cause: node/engines.EventStream went on after its end mark, and each event there started the clock of silence anew. Now lifthead/engines/event_order.py holds one table of what may follow what; the first byte of an event behind the end mark ends the stream in the same turn, without the last chunk. A comment behind the end mark may lack its blank line: such a stream was broken at its last chunk, and is served now.

--- a/lifthead/node/engines.py
+++ b/lifthead/node/engines.py
@@ -12,6 +12,7 @@
 from lifthead.bounds import is_valid_load_figure, valid_token_count
 from lifthead.engines import codec
 from lifthead.engines.codec import Observation
+from lifthead.engines.event_order import EventOrder, OrderError, StreamPart
 from lifthead.http1 import Headers, HttpError, Message
 from lifthead.interface import AttemptOutcome, LoadReport
 from lifthead.node.clients import ID_HEADER
@@ -40,6 +41,9 @@
     "x1": "prefill_backlog_thousands",
 }
 
+EVENT_END = b"\n\n"
+LONGEST_BEGINNING = 7  # bytes of a line that show what it is
+
 # Bytes that are not the protocol say nothing about the engine's machine, so they count as an error of its
 # program.
 OUTCOMES = {**codec.OUTCOMES, Observation.STRANGE: (AttemptOutcome.ERROR, 0)}
@@ -131,16 +135,28 @@
 
 class EventStream:
     """Splits and checks the event stream of an engine: only complete and well-formed events and comments are
-    passed on."""
+    passed on, and the first byte that can't belong to the stream is an error."""
 
     def __init__(self) -> None:
         self._incomplete = bytearray()
+        self._line_start = 0  # of the last line of `_incomplete`
         self._opening_comments = bytearray()  # before the first event
-        self.begun = self.ended = False
+        self._order = EventOrder()
         self.event_count = 0
+        self.sound_before_error = b""  # events that were complete before the byte that caused an error
         self.cached_tokens = 0  # prompt tokens found in the prefix cache, as the last event says
         self.report: LoadReport | None = None
 
+    @property
+    def begun(self) -> bool:
+        """Whether the first event has come."""
+        return self._order.last is not None
+
+    @property
+    def ended(self) -> bool:
+        """Whether the end mark has come."""
+        return self._order.last is StreamPart.END_MARK
+
     @property
     def buffered_bytes(self) -> int:
         """The bytes that wait for the end of their event, or for the first event."""
@@ -148,54 +164,108 @@
 
     @property
     def is_complete(self) -> bool:
-        """Whether the stream ended with its end mark and no incomplete event is left."""
-        return self.ended and not self._incomplete.strip()
+        """Whether the last chunk may come: the end mark has, and at most a comment is left."""
+        lines = self._incomplete.split(b"\n")
+        return self._order.allows(StreamPart.LAST_CHUNK) and not any(
+            line and not line.startswith(b":") for line in lines
+        )
 
     def feed(self, data: bytes) -> bytes:
-        """Returns the complete events that may be passed on; raises HttpError for a malformed one. Comments
-        before the first event are passed on with it."""
+        """Returns the complete events that may be passed on; raises HttpError if something can't belong to
+        the stream. Comments before the first event are passed on with it."""
+        complete = self._take_complete(data)
+        parsed_bytes = 0
+        try:
+            for event in complete.split(EVENT_END)[:-1]:
+                for line in event.split(b"\n"):
+                    if line:
+                        self._parse_line(line)
+                parsed_bytes += len(event) + len(EVENT_END)
+            self._check_incomplete()
+        except HttpError:
+            self.sound_before_error = self._passable(complete[:parsed_bytes])
+            raise
+        return self._passable(complete)
+
+    def finish(self) -> bytes:
+        """Returns what is left to be passed on as the last chunk comes; raises HttpError if the stream is not
+        complete by then."""
+        if not self.is_complete:
+            raise HttpError(502, "incomplete stream")
+        rest = bytes(self._incomplete)
+        for line in filter(None, rest.split(b"\n")):
+            self._parse_line(line)
+        self._order.add(StreamPart.LAST_CHUNK)
+        self._incomplete.clear()
+        return rest
+
+    def _take_complete(self, data: bytes) -> bytes:
+        """Returns the bytes of all events that are complete now."""
+        if not self._incomplete and data.endswith(EVENT_END):
+            return data
         searched = max(len(self._incomplete) - 1, 0)  # no event ends in these bytes
         self._incomplete += data
-        end = self._incomplete.rfind(b"\n\n", searched) + 2
-        if end < 2:
-            end = 0
+        end = self._incomplete.rfind(EVENT_END, searched) + len(EVENT_END)
+        if end < len(EVENT_END):
+            return b""
         complete = bytes(self._incomplete[:end])
         del self._incomplete[:end]
-        if len(self._incomplete) > MAX_CHUNK_BYTES:
-            raise HttpError(502, f"event of more than {MAX_CHUNK_BYTES} bytes")
-        for line in complete.split(b"\n"):
-            if line:
-                self._parse_line(line)
-        if self.begun:
-            return self._with_opening_comments(complete)
-        self._opening_comments += complete
-        if len(self._opening_comments) > MAX_CHUNK_BYTES:
-            raise HttpError(502, f"comments of more than {MAX_CHUNK_BYTES} bytes before the first event")
-        return b""
-
-    def _with_opening_comments(self, complete: bytes) -> bytes:
+        self._line_start = 0
+        return complete
+
+    def _passable(self, complete: bytes) -> bytes:
+        """Returns what may be passed on now: nothing before the first event."""
+        if not self.begun:
+            self._opening_comments += complete
+            if len(self._opening_comments) > MAX_CHUNK_BYTES:
+                raise HttpError(502, f"comments of more than {MAX_CHUNK_BYTES} bytes before the first event")
+            return b""
         if not self._opening_comments:
             return complete
         comments = bytes(self._opening_comments)
         self._opening_comments.clear()
         return comments + complete
 
+    def _check_incomplete(self) -> None:
+        """Raises HttpError if what has come of the next event can't become one."""
+        incomplete = self._incomplete
+        if not incomplete:
+            return
+        if len(incomplete) > MAX_CHUNK_BYTES:
+            raise HttpError(502, f"event of more than {MAX_CHUNK_BYTES} bytes")
+        while True:
+            self._check_beginning(bytes(incomplete[self._line_start : self._line_start + LONGEST_BEGINNING]))
+            end = incomplete.find(b"\n", self._line_start)
+            if end < 0:
+                return
+            self._line_start = end + 1
+
+    def _check_beginning(self, line: bytes) -> None:
+        """Raises HttpError if no line of an event may begin with these bytes."""
+        if not line or line.startswith(b":"):
+            return
+        if not (self._order.allows(StreamPart.EVENT) or self._order.allows(StreamPart.END_MARK)):
+            raise HttpError(502, "an event behind the end mark")
+
     def _parse_line(self, line: bytes) -> None:
         if line.startswith(b":"):
             comment = line[1:].decode("latin-1").strip()
             if comment.lower().startswith("endpoint-load-metrics:"):
                 self.report = parse_load_report(comment)
             return
-        self.event_count += 1
-        if line == b"data: [DONE]":
-            self.ended = True
-            return
         try:
+            if line == b"data: [DONE]":
+                self._order.add(StreamPart.END_MARK)
+                self.event_count += 1
+                return
             if not line.startswith(b"data: "):
                 raise HttpError(502, f"not an event: {line[:40]!r}")
             event = _decode_event(line[6:])
+            self._order.add(StreamPart.EVENT)
         except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
             raise HttpError(502, f"malformed event: {str(error)[:100]}") from None
-        self.begun = True
+        except OrderError as error:
+            raise HttpError(502, str(error)) from None
+        self.event_count += 1
         if event.usage and event.usage.prompt_tokens_details:
             self.cached_tokens = valid_token_count(event.usage.prompt_tokens_details.cached_tokens)
--- a/lifthead/node/host.py
+++ b/lifthead/node/host.py
@@ -307,10 +307,10 @@
         pending.message.body = b""  # no other attempt follows, and a stream may last long
         self.router.on_first_token(pending.id, attempt.number, now() - attempt.sent_at)
 
-    def on_stream_complete(self, pending: PendingRequest) -> None:
-        """All events of a stream and its last chunk have come."""
+    def on_stream_complete(self, pending: PendingRequest, rest: bytes) -> None:
+        """All events of a stream and its last chunk have come. `rest`: what is left to be passed on."""
         if self._set_final_answer(pending, "done"):
-            pending.reply.end()
+            pending.reply.end(rest)
 
     def _finish_attempt(
         self, pending: PendingRequest, attempt: AttemptInFlight, result: AttemptResult
--- a/lifthead/node/stream_relay.py
+++ b/lifthead/node/stream_relay.py
@@ -34,8 +34,8 @@
     def on_stream_begun(self, pending: Any, attempt: AttemptInFlight) -> None:
         """The first event has come. No other attempt follows."""
 
-    def on_stream_complete(self, pending: Any) -> None:
-        """All events and the last chunk have come."""
+    def on_stream_complete(self, pending: Any, rest: bytes) -> None:
+        """All events and the last chunk have come. `rest`: what is left to be passed on."""
 
 
 class StreamRelay:
@@ -78,7 +78,7 @@
         pending, events = self._pending, self._events
         while data := await self._connection.read_body():
             previous_event_count = events.event_count
-            complete_events = events.feed(data)
+            complete_events = self._parse(data)
             self._check_memory()
             if not events.begun:
                 continue
@@ -94,11 +94,19 @@
                 await pending.reply.wait_writable()
             if has_progressed:
                 self._silence.on_event()
-        if not pending.answer_started or not events.is_complete:
-            raise HttpError(502, "incomplete stream")
-        listener.on_stream_complete(pending)
+        listener.on_stream_complete(pending, events.finish())
         return AttemptResult(Observation.WRITTEN, events.cached_tokens, events.report)
 
+    def _parse(self, data: bytes) -> bytes:
+        """Returns the events that may be passed on. Raises HttpError if something can't belong to the stream;
+        the client of a begun stream gets the events before it."""
+        try:
+            return self._events.feed(data)
+        except HttpError:
+            if self._pending.answer_started and self._events.sound_before_error:
+                self._pending.reply.send(self._events.sound_before_error)
+            raise
+
     def _check_memory(self) -> None:
         """Raises HttpError if what waits for the rest of its event finds no memory."""
         buffered = self._events.buffered_bytes
