Bytes that can begin no event end their stream at once

Callers saw: noise in a chunk of sound framing, or the bytes that a size a little too large takes along, waited for the end of an event that they can't be, 4.8 s. Cause: a line was looked at once its event was complete. Now each line's beginning is checked as it comes, once per line. The test fails before (5 of 5 streams) and passes now; the test of linear cost feeds the same bytes inside an event.

--- a/lifthead/node/engines.py
+++ b/lifthead/node/engines.py
@@ -42,7 +42,8 @@
 }
 
 EVENT_END = b"\n\n"
-LONGEST_BEGINNING = 7  # bytes of a line that show what it is
+EVENT_BEGINNINGS = (b"data: {", b"data: [", b"data:  ", b"data: \t")  # of a line; JSON may follow white space
+LONGEST_BEGINNING = max(map(len, EVENT_BEGINNINGS))
 
 # Bytes that are not the protocol say nothing about the engine's machine, so they count as an error of its
 # program.
@@ -246,6 +247,8 @@
             return
         if not (self._order.allows(StreamPart.EVENT) or self._order.allows(StreamPart.END_MARK)):
             raise HttpError(502, "an event behind the end mark")
+        if not (line.startswith(EVENT_BEGINNINGS) or any(each.startswith(line) for each in EVENT_BEGINNINGS)):
+            raise HttpError(502, f"not an event: {line!r}")
 
     def _parse_line(self, line: bytes) -> None:
         if line.startswith(b":"):
