--- a/lifthead/engines/event_order.py
+++ b/lifthead/engines/event_order.py
@@ -12,6 +12,8 @@
     LAST_CHUNK = "the last chunk"
 
 
+_EVENT = StreamPart.EVENT
+
 # A comment may stand between any two others, and changes nothing. None: at the beginning of the stream.
 MAY_FOLLOW: dict[StreamPart | None, tuple[StreamPart, ...]] = {
     None: (StreamPart.COMMENT, StreamPart.EVENT),
@@ -38,9 +40,11 @@
 
     def add(self, part: StreamPart) -> None:
         """Notes the next part; raises OrderError if it can't belong there."""
+        if part is self.last and part is _EVENT:
+            return  # what nearly all of a stream consists of
         if part not in self._may_follow:
             place = f"behind {self.last.value}" if self.last else "at the beginning"
             raise OrderError(f"{part.value} {place}")
-        if part is not self.last and part is not StreamPart.COMMENT:
+        if part is not StreamPart.COMMENT:
             self.last = part
             self._may_follow = MAY_FOLLOW[part]
--- a/lifthead/node/engines.py
+++ b/lifthead/node/engines.py
@@ -42,6 +42,7 @@
 }
 
 EVENT_END = b"\n\n"
+_EVENT = StreamPart.EVENT  # looked up once: it is noted with each event
 EVENT_BEGINNINGS = (b"data: {", b"data: [", b"data:  ", b"data: \t")  # of a line; JSON may follow white space
 LONGEST_BEGINNING = max(map(len, EVENT_BEGINNINGS))
 
@@ -182,11 +183,14 @@
                     if line:
                         self._parse_line(line)
                 parsed_bytes += len(event) + len(EVENT_END)
-            self._check_incomplete()
+            if self._incomplete:
+                self._check_incomplete()
         except HttpError:
             self.sound_before_error = self._passable(complete[:parsed_bytes])
             raise
-        return self._passable(complete)
+        if self._opening_comments or not self.begun:
+            return self._passable(complete)
+        return complete
 
     def finish(self) -> bytes:
         """Returns what is left to be passed on as the last chunk comes; raises HttpError if the stream is not
@@ -230,8 +234,6 @@
     def _check_incomplete(self) -> None:
         """Raises HttpError if what has come of the next event can't become one."""
         incomplete = self._incomplete
-        if not incomplete:
-            return
         if len(incomplete) > MAX_CHUNK_BYTES:
             raise HttpError(502, f"event of more than {MAX_CHUNK_BYTES} bytes")
         while True:
@@ -252,10 +254,7 @@
 
     def _parse_line(self, line: bytes) -> None:
         if line.startswith(b":"):
-            comment = line[1:].decode("latin-1").strip()
-            if comment.lower().startswith("endpoint-load-metrics:"):
-                self.report = parse_load_report(comment)
-            return
+            return self._parse_comment(line)
         try:
             if line == b"data: [DONE]":
                 self._order.add(StreamPart.END_MARK)
@@ -264,7 +263,7 @@
             if not line.startswith(b"data: "):
                 raise HttpError(502, f"not an event: {line[:40]!r}")
             event = _decode_event(line[6:])
-            self._order.add(StreamPart.EVENT)
+            self._order.add(_EVENT)
         except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
             raise HttpError(502, f"malformed event: {str(error)[:100]}") from None
         except OrderError as error:
@@ -272,3 +271,8 @@
         self.event_count += 1
         if event.usage and event.usage.prompt_tokens_details:
             self.cached_tokens = valid_token_count(event.usage.prompt_tokens_details.cached_tokens)
+
+    def _parse_comment(self, line: bytes) -> None:
+        comment = line[1:].decode("latin-1").strip()
+        if comment.lower().startswith("endpoint-load-metrics:"):
+            self.report = parse_load_report(comment)
