The limit of a silent stream leaves room for the path that its events took

Cause: the limit was one figure, with no place for the path. A path of over 0.15 s, or one that was never measured, can still leave a client waiting: told in the postmortem. The test fails before and passes now.

--- a/lifthead/engines/link.py
+++ b/lifthead/engines/link.py
@@ -4,6 +4,7 @@
 from collections import deque
 
 from lifthead import http1, socket_state
+from lifthead.engines.path_delay import PathDelay
 from lifthead.http1 import HttpError, Message
 from lifthead.streams import BUFFER_LIMIT, BoundedStreamProtocol
 
@@ -51,9 +52,14 @@
     """One connection and the answer that is read from it."""
 
     def __init__(
-        self, reader: CountingReader, writer: asyncio.StreamWriter, parser_limits: tuple[int, ...] = ()
+        self,
+        reader: CountingReader,
+        writer: asyncio.StreamWriter,
+        parser_limits: tuple[int, ...] = (),
+        path_delay: PathDelay | None = None,
     ) -> None:
         self.reader, self.writer = reader, writer
+        self._path_delay = path_delay or PathDelay()
         self._parser_limits = parser_limits  # of a head and of a chunk, bytes
         self._consumed = 0  # bytes read from the reader
         self.parser = http1.AnswerParser(*parser_limits)
@@ -168,7 +174,9 @@
     async def exchange(self, data: bytes) -> tuple[Message, bytes]:
         """Sends a short request and returns its whole answer."""
         await self.send(data)
+        sent_at = asyncio.get_running_loop().time()
         head = await self.read_head()
+        self._path_delay.add_answer(asyncio.get_running_loop().time() - sent_at)
         return head, await self.read_whole_body(MAX_SHORT_ANSWER_BYTES)
 
     async def is_alive(self, probe: bytes, within: float) -> bool:
@@ -232,6 +240,7 @@
         self._connect_within = connect_within
         self._idle: deque[Connection] = deque()
         self._all_idle = {} if all_idle is None else all_idle
+        self.path_delay = PathDelay()
 
     async def acquire(self, fresh: bool) -> Connection:
         """A connection; OSError or TimeoutError if none can be made. `fresh`: a new one. If a reused one
@@ -258,9 +267,9 @@
                 )
         except ConnectionResetError:  # unlike a refusal, a reset doesn't show that no engine is there
             raise NotSentError("reset as it opened") from None
-        return Connection(
-            reader, asyncio.StreamWriter(transport, protocol, reader, loop), self._parser_limits
-        )
+        self.path_delay.add_connect(loop.time() - now)
+        writer = asyncio.StreamWriter(transport, protocol, reader, loop)
+        return Connection(reader, writer, self._parser_limits, self.path_delay)
 
     def close_expired(self) -> None:
         """Closes the idle connections that can't be reused any more, as each holds a file descriptor."""
--- a/lifthead/node/host.py
+++ b/lifthead/node/host.py
@@ -295,7 +295,8 @@
             pending.guard.on_leased(attempt, now())
             self._note_event(pending, Event.LEASED, attempt)
             return AttemptResult(observation, engines.cached_tokens_in(body), report)
-        pending.stream = StreamRelay(pending, attempt, connection, timeout, self.memory)
+        path_delay = endpoint.link.path_delay.current
+        pending.stream = StreamRelay(pending, attempt, connection, timeout, self.memory, path_delay)
         return await pending.stream.run(self)
 
     def on_stream_begun(self, pending: PendingRequest, attempt: AttemptInFlight) -> None:
--- a/tests/test_stream_silence.py
+++ b/tests/test_stream_silence.py
@@ -8,8 +8,9 @@
 import pytest
 from onenode import END, EVENT, HANG, HEAD, Client, Engine, chat, encode_chunk, run_with_node
 
+from lifthead.engines.path_delay import PathDelay
 from lifthead.node import stream_silence
-from lifthead.node.stream_silence import StreamSilence
+from lifthead.node.stream_silence import STREAM_SILENCE_TIMEOUT, StreamSilence, silence_timeout
 
 MAX_WAIT_S = 5.0  # in which a client is owed the next event or the end of its connection
 HELD_UP_S = 0.15  # for which a router may be held up
@@ -152,3 +153,22 @@
     broken = [line for line in lines if line.startswith("stream_broken")]
     assert len(broken) == 2
     assert all(word in line for word in expected for line in broken)
+
+
+@pytest.mark.parametrize(
+    ("connects", "answers", "expected"),
+    [([], [], 0.0), ([0.001], [0.05, 0.3], 0.05), ([0.04, 1.0], [], 0.04), ([0.01] * 20, [0.002], 0.01)],
+)
+def test_the_shortest_round_trip_of_each_kind_bounds_the_path(connects, answers, expected):
+    path_delay = PathDelay()
+    for took in connects:
+        path_delay.add_connect(took)
+    for took in answers:
+        path_delay.add_answer(took)
+    assert path_delay.current == expected
+
+
+def test_the_timeout_leaves_room_for_the_path_and_for_a_pause_of_a_running_engine():
+    assert silence_timeout(0.0) == STREAM_SILENCE_TIMEOUT == MAX_WAIT_S - HELD_UP_S
+    assert silence_timeout(0.1) + 0.1 == pytest.approx(MAX_WAIT_S - HELD_UP_S)
+    assert silence_timeout(1.0) == pytest.approx(LONG_PAUSE_S)
