An id that may have run is not sent again when it comes back after its client left

Cause: the node knew an id only while its request was open, and forgot it with the request. What is proven not run is served, as are idempotent ones. A stream that a prefill engine sends counts as a run.

--- a/lifthead/guard.py
+++ b/lifthead/guard.py
@@ -165,6 +165,11 @@
         """Whether a held state waits to be fetched."""
         return self.held_state is not None and self.held_state.status is HeldStateStatus.LEASED
 
+    @property
+    def may_not_run_again(self) -> bool:
+        """Whether running the request once more, for whoever sends it again, could have its effect twice."""
+        return self.may_have_run and self.effect is not Idempotency.IDEMPOTENT
+
     # Attempts.
 
     def start(self, attempt: Attempt) -> None:
@@ -283,7 +288,7 @@
     def on_first_token(self, attempt: Attempt, now: int) -> None:
         """The first token has come. It proves that a FETCH attempt took the held state. An attempt that
         prefilled the prompt itself proves nothing about a held state."""
-        self.answer_started = True
+        self.answer_started = self.may_have_run = True
         if attempt.work is not Work.FETCH:
             self.releases.first_token(attempt.serial)
             self._add_audit_entry(now, Fact.ANSWERED, attempt)
--- a/lifthead/node/clients.py
+++ b/lifthead/node/clients.py
@@ -126,3 +126,8 @@
 def failure() -> tuple[int, bytes, Headers]:
     """Returns status, body and headers for a request that may have run and brought no answer."""
     return 504, error_body(504, "aborted", "whether it had an effect is not known"), JSON_HEADERS
+
+
+def already_executed() -> tuple[int, bytes, Headers]:
+    """Returns status, body and headers for an id whose earlier request may have run: it is not run again."""
+    return 409, error_body(409, "already_executed", "a request with this id may have run"), JSON_HEADERS
--- a/lifthead/node/host.py
+++ b/lifthead/node/host.py
@@ -18,6 +18,7 @@
 from lifthead.engines.codec import Observation
 from lifthead.engines.link import Connection, ConnectionPool, IdleLimit, NotSentError
 from lifthead.events import Event, EventLog, Record
+from lifthead.executed_ids import ExecutedIds
 from lifthead.guard import RequestGuard, Rule, Work
 from lifthead.hosting import AttemptInFlight, BaseHost, now, wall_clock_offset
 from lifthead.http1 import HttpError, Message
@@ -72,6 +73,7 @@
         super().__init__(config.deployment, tasks)
         self._config = config
         self._open_request_ids: set[str] = set()
+        self._executed_ids = ExecutedIds()
         self._connections_in_use = 0  # to engines
         self.max_connections = config.max_engine_connections
         self.memory = MemoryPool(config.buffer_capacity)  # for what clients and engines send
@@ -120,6 +122,8 @@
             request_id = message.headers[clients.ID_HEADER]
             if request_id in self._open_request_ids:
                 raise HttpError(409, "a req with this id is open")
+            if self._executed_ids.has(request_id, now()):
+                return reply.send_whole(*clients.already_executed())
         except HttpError as error:
             reply.keep_alive = False
             return reply.send_whole(error.status, clients.error_body(error.status, "bad_req", error.reason))
@@ -506,7 +510,10 @@
         if not super()._forget(pending):
             return False
         self._note_event(pending, Event.FORGOTTEN)
-        self._open_request_ids.discard(pending.message.headers[clients.ID_HEADER])
+        request_id = pending.message.headers[clients.ID_HEADER]
+        self._open_request_ids.discard(request_id)
+        if pending.guard.may_not_run_again:
+            self._executed_ids.add(request_id, now())
         return True
 
     # Log and events.
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,7 @@
 """Handles known failures and decides which tests may run in parallel.
 
 Tests listed in KNOWN-RED.txt are expected to fail, and fail the run if they pass. Each line of that file is
-`test | cause | issue`, with at most five lines. Lines that begin with # are comments. A test whose cause
+`test | cause | issue`, with at most four lines. Lines that begin with # are comments. A test whose cause
 begins with "flaky" may also pass.
 
 With pytest-xdist, tests that start whole fleets of processes and check time limits run one after the other,
@@ -16,7 +16,7 @@
 import pytest
 
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
-MAX_KNOWN_FAILURES = 5
+MAX_KNOWN_FAILURES = 4
 FLAKY = "flaky"
 FLEET_TESTS = (
     "test_daemon_faults.py",
