--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -25,7 +25,8 @@
     "test_system_calls.py",
 )
 
-SHARED_FIXTURE = ("test_discovery.py",)  # all its tests use one fixture, so they run on one worker
+# All tests of each use one fixture, so they run on one worker.
+SHARED_FIXTURE = ("test_discovery.py", "test_sound_streams.py")
 
 
 def known_failures(text):
