The fault soak draws spoilt streams, and its checker sees a client left waiting

The soak could not see the incident: its engines answered badly before their streams, never within them.

--- a/lifthead/standins/faults/checker.py
+++ b/lifthead/standins/faults/checker.py
@@ -23,6 +23,8 @@
 NEVER = 1 << 62
 RECORDING_DELAY = 60 * MILLISECOND  # how late a process beside dozens of others may record
 FINAL_ANSWER_SLACK = 500 * MILLISECOND  # past its budget an answer is only worthless; later it is lost
+SPOILT_STREAM_WAIT = 5_000 * MILLISECOND  # after a stream was spoilt, in which its client's connection ends
+PATH_FAULTS = ("hold", "delay")  # during which what an engine writes arrives late
 DISCONNECT_SLACK = 100 * MILLISECOND  # by which an attempt may begin after its client disconnects
 ACCEPTS_AFTER_SIGTERM = 550 * MILLISECOND  # for this long a router still accepts requests
 # A SIGKILL excuses an unanswered request unless it came later than this after the SIGTERM.
@@ -62,6 +64,7 @@
     killed: list[RecordLine] = field(default_factory=list)
     last_recorded_at: int = 0
     has_discovery_faults: bool = False
+    path_faults: list[RecordLine] = field(default_factory=list)  # that hold back what engines write
     # By process: the time of each SIGSTOP (True) and SIGCONT (False).
     suspensions: dict[str, list[tuple[int, bool]]] = field(default_factory=lambda: defaultdict(list))
     stopping: list[RecordLine] = field(default_factory=list)  # routers that received SIGTERM
@@ -86,6 +89,8 @@
             self.router_closed_at[_connection_key(line)] = line["t"]
         elif event == "fault":
             self.has_discovery_faults |= DISCOVERY in line["others"]
+            if line["fault"] in PATH_FAULTS:
+                self.path_faults.append(line)
         elif event == "delivered":
             self.delivered_at[_connection_key(line)].append(line["t"])
         elif event == "signal" and line["signal"] in ("SIGSTOP", "SIGCONT"):
@@ -136,6 +141,17 @@
         end_times = [at for at in self.delivered_at.get(connection, ()) if at >= held["t"]]
         return max(min([*end_times, self.router_closed_at.get(connection, NEVER)]), held["t"])
 
+    def has_path_fault(self, outcome_line: RecordLine, spoilt: RecordLine) -> bool:
+        """Whether a fault may have held back what an engine wrote before it spoilt this stream."""
+        router, engine = outcome_line["router"], spoilt["engine"]
+        changes = [
+            line
+            for line in self.path_faults
+            if line["t"] <= outcome_line["t"] and router in line["routers"] and engine in line["others"]
+        ]
+        active = sum(1 if line["begins"] else -1 for line in changes if line["t"] <= spoilt["t"])
+        return active > 0 or any(line["begins"] and line["t"] > spoilt["t"] for line in changes)
+
     def was_killed(self, name: str, since: int, until: int, planned: bool = True) -> bool:
         """Whether this process was killed in this interval. `planned` includes kills that end a slow stop."""
         kills = [line for line in self.killed if planned or not line.get("planned")]
@@ -163,6 +179,7 @@
     breaches = []
     for request_id in traffic.requests:
         breaches += _check_final_answer(traffic, request_id)
+        breaches += _check_spoilt_streams(traffic, request_id)
         breaches += _check_effects(traffic, request_id)
         breaches += _check_held_state(traffic, request_id)
     return breaches + _check_drains(traffic)
@@ -197,6 +214,22 @@
     return breaches
 
 
+def _check_spoilt_streams(traffic: Traffic, request_id: str) -> list[Breach]:
+    """Rule 1 (final_answer): a stream that is spoilt after its first event ends for its client in time, and
+    not as if it were whole."""
+    outcome_line, lines = traffic.outcomes.get(request_id), traffic.lines_by_request[request_id]
+    spoilt = [line for line in lines if line["ev"] == "spoilt" and line["events"]]
+    runs = [line for line in lines if line["ev"] == "ran"]
+    if outcome_line is None or not spoilt or runs[-1]["t"] > spoilt[-1]["t"]:
+        return []  # or another attempt followed, so no event had been passed on
+    waited, how = outcome_line["t"] - spoilt[-1]["t"], spoilt[-1]["how"]
+    if outcome_line["outcome"] == "whole":
+        return [Breach(1, request_id, f"a spoilt stream ({how}) ended as a whole one")]
+    if waited <= SPOILT_STREAM_WAIT + RECORDING_DELAY or traffic.has_path_fault(outcome_line, spoilt[-1]):
+        return []
+    return [Breach(1, request_id, f"left waiting for {waited // 1000} ms behind a spoilt stream ({how})")]
+
+
 def _check_effects(traffic: Traffic, request_id: str) -> list[Breach]:
     """Rule 2 (single_effect): no effect happens twice; a request never has two attempts in flight at once."""
     lines = traffic.lines_by_request[request_id]
--- a/lifthead/standins/faults/clients.py
+++ b/lifthead/standins/faults/clients.py
@@ -15,6 +15,7 @@
 CLOSE_RACE_WINDOW = 0.05  # seconds after sending in which the router may have closed the connection before
 REUSABLE_OUTCOMES = ("whole", "429", "503", "504")  # after which a connection is used again
 MAX_STREAM_PAUSE = 6.0  # seconds between events, after which the router should have ended the stream
+MAX_STREAM_TIME = 15.0  # seconds from the first event on; sound streams are much shorter
 CHARACTERS_PER_TOKEN = 4
 _find_content_length = re.compile(rb"(?i)\r\ncontent-length: *(\d+)").search
 
@@ -161,10 +162,11 @@
             await _read_within_pause(reader.readexactly(int(length[1])))
         return status
     try:
-        while size := int(await _read_within_pause(reader.readline()) or b"0", 16):
-            await _read_within_pause(reader.readexactly(size + 2))
-        ended = await _read_within_pause(reader.readexactly(2)) == b"\r\n"
-        return "whole" if ended else "cut"
+        async with asyncio.timeout(MAX_STREAM_TIME):
+            while size := int(await _read_within_pause(reader.readline()) or b"0", 16):
+                await _read_within_pause(reader.readexactly(size + 2))
+            ended = await _read_within_pause(reader.readexactly(2)) == b"\r\n"
+            return "whole" if ended else "cut"
     except TimeoutError:
         return "stalled"
     except (OSError, ValueError, asyncio.IncompleteReadError):
--- a/lifthead/standins/faults/engine.py
+++ b/lifthead/standins/faults/engine.py
@@ -16,6 +16,7 @@
 from lifthead.standins import wire
 from lifthead.standins.faults import settings
 from lifthead.standins.faults.misbehaviour import ERROR_RESPONSES, Misbehaviour, draw_misbehaviour
+from lifthead.standins.faults.spoilt_streams import INTERVAL, SPOILS, Spoil, draw_spoil
 from lifthead.standins.record import Record
 from lifthead.standins.wire import ReceivedRequest, ServerConnection
 
@@ -55,6 +56,7 @@
     slow_share: float = 0.0  # share of the requests that take SLOW_FIRST_TOKEN at any engine
     sees_close_after: float = 0.0  # delay before it sees that a router has closed a connection
     misbehaves: float = 0.0  # share of the requests that it answers wrongly
+    spoils: float = 0.0  # share of the streams that it spoils after some events
     seed: int = 0
 
 
@@ -71,6 +73,7 @@
 
     def __post_init__(self) -> None:
         self.rng = random.Random(self.spec.seed)
+        self.spoil_rng = random.Random(f"spoils {self.spec.seed}")  # leaves the draws of `rng` as they are
 
     def _record_event(self, event: str, request_id: str, **fields: object) -> None:
         self.record.put(event, request=request_id, engine=self.spec.name, **fields)
@@ -177,15 +180,33 @@
         self._record_event("ran", request_id, qos=http_request.headers.get("x-qos", ""))
         if not misbehaviour.answers_normally:
             return True
+        spoil = draw_spoil(self.spoil_rng, self.spec.spoils)
+        sound_events = self.spoil_rng.randint(0, TOKEN_EVENTS) if spoil else TOKEN_EVENTS
         server.start_response(200, {"content-type": "text/event-stream", "transfer-encoding": "chunked"})
-        for _ in range(TOKEN_EVENTS):
+        for _ in range(sound_events):
             server.send_data(TOKEN_EVENT)
             if not await self._wait_unless_closed(http_request, TOKEN_INTERVAL):
                 return False
+        if spoil:
+            self._record_event("spoilt", request_id, how=spoil, events=sound_events)
+            await self._spoil(server, http_request, SPOILS[spoil])
+            return False
         server.send_data(USAGE_EVENTS)
         server.end_response()
         return True
 
+    async def _spoil(self, server: ServerConnection, http_request: ReceivedRequest, spoil: Spoil) -> None:
+        """Spoils a stream, and leaves its connection open until the router closes it."""
+        server.send_raw(spoil.first)
+        for _ in range(spoil.times):
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(INTERVAL):
+                    await http_request.closed.wait()
+            if http_request.closed.is_set():
+                return
+            server.send_raw(spoil.again)
+        await http_request.closed.wait()
+
     def _time_to_first_token(self, request_id: str) -> float:
         if zlib.crc32(request_id.encode()) % 100 < 100 * self.spec.slow_share:
             return SLOW_FIRST_TOKEN
--- a/lifthead/standins/faults/fleet.py
+++ b/lifthead/standins/faults/fleet.py
@@ -53,6 +53,7 @@
     sees_close_after: float = 0.0  # seconds, at every engine
     takes_up_after: float = 0.0  # seconds, at every engine
     misbehaves: float = 0.0  # share of the requests that engines answer wrongly
+    spoils: float = 0.0  # share of the streams that engines spoil
     sockets: int = 512  # the router's limit of sockets
     deadline: float = 0.0  # seconds, for all request classes; 0 keeps each class's default
     engines: dict[str, ListedEngine] = field(default_factory=dict)
@@ -103,7 +104,7 @@
                 name, kind, port, ports, record,
                 first_token_takes=self.first_token_takes, slow_share=self.slow_share,
                 sees_close_after=self.sees_close_after, takes_up_after=self.takes_up_after,
-                misbehaves=self.misbehaves, seed=self.seed * 100 + number,
+                misbehaves=self.misbehaves, spoils=self.spoils, seed=self.seed * 100 + number,
             )  # fmt: skip
 
     async def _add_router(self, router: str, zone: str) -> None:
--- a/lifthead/standins/faults/schedule.py
+++ b/lifthead/standins/faults/schedule.py
@@ -31,6 +31,7 @@
 MAX_CLOSE_DELAY = 0.3  # seconds until engines see that a connection was closed
 MAX_START_DELAY = 0.02  # seconds until engines begin with a request that has arrived
 MAX_MISBEHAVIOUR_SHARE = 0.15  # of the requests that engines answer wrongly
+MAX_SPOILT_SHARE = 0.2  # of the streams
 IDLE_CONNECTIONS = 90  # opened at once at a router that may have LOW_SOCKET_LIMIT sockets
 LOW_SOCKET_LIMIT = 160
 SOCKET_LIMIT = 512
@@ -105,6 +106,7 @@
     takes_up_after: float = 0.0
     sockets: int = SOCKET_LIMIT
     misbehaves: float = 0.0
+    spoils: float = 0.0  # share of the streams that engines spoil
 
     @property
     def sigkill_after(self) -> float:
@@ -135,17 +137,23 @@
     )
     faults = _draw_faults(rng, size, duration)
     has_idle_connections = any(fault.action is Action.IDLE_CONNECTIONS for fault in faults)
-    conditions = _draw_conditions(rng, has_idle_connections, random.Random(f"more {seed}"))
+    conditions = _draw_conditions(
+        rng, has_idle_connections, random.Random(f"more {seed}"), random.Random(f"spoils {seed}")
+    )
     requests = _draw_requests(rng, size, duration, conditions.deadline)
     return Schedule(seed, size, conditions, faults, requests, duration)
 
 
 def _draw_conditions(
-    rng: random.Random, has_idle_connections: bool, misbehaviour_rng: random.Random
+    rng: random.Random,
+    has_idle_connections: bool,
+    misbehaviour_rng: random.Random,
+    spoil_rng: random.Random,
 ) -> Conditions:
     """Draws the conditions of a run.
 
-    `misbehaviour_rng` is a separate generator, so that its draws don't change the rest of a seed's schedule.
+    `misbehaviour_rng` and `spoil_rng` are separate generators, so that their draws don't change the rest of a
+    seed's schedule.
     """
     return Conditions(
         deadline=rng.uniform(*rng.choice(DEADLINES)),
@@ -154,6 +162,7 @@
         takes_up_after=rng.choice((0.0, rng.uniform(0.0, MAX_START_DELAY))),
         sockets=LOW_SOCKET_LIMIT if has_idle_connections else SOCKET_LIMIT,
         misbehaves=misbehaviour_rng.choice((0.0, misbehaviour_rng.uniform(0.0, MAX_MISBEHAVIOUR_SHARE))),
+        spoils=spoil_rng.choice((0.0, spoil_rng.uniform(0.0, MAX_SPOILT_SHARE))),
     )
 
 
--- a/lifthead/standins/faults/soak.py
+++ b/lifthead/standins/faults/soak.py
@@ -75,7 +75,7 @@
         path, schedule.size, schedule.seed, source, slow_share=conditions.slow_share,
         deadline=conditions.deadline, sees_close_after=conditions.sees_close_after,
         takes_up_after=conditions.takes_up_after, sockets=conditions.sockets,
-        misbehaves=conditions.misbehaves,
+        misbehaves=conditions.misbehaves, spoils=conditions.spoils,
     )  # fmt: skip
     persistent_clients: dict[tuple[str, int], PersistentClient] = {}
     async with fleet, LatenessMonitor() as lateness:
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -9,9 +9,12 @@
 
 from lifthead.standins.faults import settings
 from lifthead.standins.faults.checker import find_breaches
+from lifthead.standins.faults.clients import Request, send_request
+from lifthead.standins.faults.fleet import Fleet, FleetSize
 from lifthead.standins.faults.proxy import Fault
 from lifthead.standins.faults.schedule import LOW_SOCKET_LIMIT, SOCKET_LIMIT, Action, draw_schedule
 from lifthead.standins.faults.soak import run_schedule
+from lifthead.standins.faults.spoilt_streams import SPOILS
 
 SECOND = 1_000_000
 
@@ -27,12 +30,36 @@
     assert result.processes >= 10 and result.outcomes["whole"] > sum(result.outcomes.values()) / 2
 
 
+async def run_with_spoilt_streams(path):
+    """Half of the streams are spoilt, after none to four events. Returns the breaches and the kinds drawn."""
+    source = Path(__file__).parent.parent
+    fleet = Fleet(path, FleetSize(routers=2, prefill=1, decode=3), source=source, spoils=0.5)
+    async with fleet, asyncio.TaskGroup() as tasks:
+        for number in range(300):
+            prompt = settings.LONG_PROMPT if number % 2 else settings.SHORT_PROMPT
+            request = Request(f"r{number}", prompt, 2.0, session=f"s{number}")
+            router = f"n{number // 2 % 2}"
+            tasks.create_task(send_request(router, fleet.routers[router], request, fleet.record))
+            await asyncio.sleep(0.01)
+    lines = fleet.records()
+    spoilt = [record for record in lines if record["ev"] == "spoilt"]
+    return find_breaches(lines), {record["how"] for record in spoilt if record["events"]}
+
+
+def test_no_client_is_left_waiting_behind_a_stream_that_its_engine_spoilt(tmp_path):
+    """The third staging incident: each kind of bad stream that the platform names, after sound events."""
+    breaches, kinds = asyncio.run(run_with_spoilt_streams(tmp_path))
+    assert [breach for breach in breaches if breach.rule == 1] == []
+    assert len(kinds) >= len(SPOILS) - 2  # they are drawn
+
+
 def test_seeds_draw_every_condition():
     conditions = [draw_schedule(seed).conditions for seed in range(60)]
     assert min(each.deadline for each in conditions) < 0.6 and max(each.deadline for each in conditions) > 4
     assert any(each.sees_close_after > 0.2 for each in conditions)
     assert any(each.slow_share > 0.1 for each in conditions)
     assert any(each.misbehaves > 0.1 for each in conditions)
+    assert any(each.spoils > 0.1 for each in conditions) and any(each.spoils == 0 for each in conditions)
     assert {each.sockets for each in conditions} == {LOW_SOCKET_LIMIT, SOCKET_LIMIT}
     assert all(1.0 < each.sigkill_after <= 3.7 for each in conditions)
     assert any(scheduled.persistent_client >= 0 for scheduled in draw_schedule(1).requests)
@@ -189,6 +216,37 @@
     assert [breach.rule for breach in find_breaches(lines)] == expected
 
 
+@pytest.mark.parametrize(
+    ("outcome", "at", "events", "expected"),
+    [
+        ("cut", 6.0, 1, []),
+        ("cut", 6.2, 1, [1]),
+        ("stalled", 12, 1, [1, 1]),
+        ("whole", 2, 1, [1]),
+        ("504", 5, 0, []),
+    ],
+)
+def test_a_client_left_waiting_behind_a_spoilt_stream_is_a_breach(outcome, at, events, expected):
+    ran = at_engine(SECOND, "ran", "d0", qos=settings.IDEMPOTENT)
+    spoilt = at_engine(SECOND + 1, "spoilt", "d0", how="silence", events=events)
+    lines = [asked(), ran, spoilt, answered(int(at * SECOND), outcome)]
+    assert [breach.rule for breach in find_breaches(lines)] == expected
+
+
+@pytest.mark.parametrize(
+    ("begins", "ends", "expected"), [(0, 0.5, [1]), (0, 2, []), (3, 4, []), (9, 10, [1])]
+)
+def test_a_fault_that_holds_events_back_excuses_a_wait_that_it_overlaps(begins, ends, expected):
+    ran = at_engine(SECOND, "ran", "d0", qos=settings.IDEMPOTENT)
+    spoilt = at_engine(SECOND + 1, "spoilt", "d0", how="silence", events=1)
+    fault = {"fault": "hold", "others": ["d0"], "routers": ["n0"]}
+    changes = [
+        line(int(at * SECOND), "fault", begins=on, **fault) for at, on in ((begins, True), (ends, False))
+    ]
+    lines = [asked(), ran, spoilt, *changes, answered(8 * SECOND, "cut")]
+    assert [breach.rule for breach in find_breaches(lines)] == expected
+
+
 def test_an_attempt_sent_after_the_final_answer_is_a_breach():
     sent = on_connection(2 * SECOND, "sent", "d0") | {"request": "r"}
     assert [breach.rule for breach in find_breaches([asked(), answered(SECOND), sent])] == [1]
