Empty lines no longer keep an idle connection of a client open

Callers saw: a client that sends an empty line now and then keeps its connection for ever, and one that does so ten times a second keeps it from making room, so that some hundred of them hold all descriptors. Cause: chat/server.py set the 6 s of an idle connection, and since when it waits, anew with each read. Now both count from the last answer, and bytes that begin no request change neither.

--- a/lifthead/chat/server.py
+++ b/lifthead/chat/server.py
@@ -311,8 +311,9 @@
         limits, since, in_head = self.limits, None, True
         parser = connection.parser
         loop = asyncio.get_running_loop()
+        waiting_since = loop.time()  # bytes that begin no request, such as empty lines, leave it as it is
         first = waiting is self._new and self._first_request_within
-        latest = loop.time() + first if first else math.inf
+        latest = waiting_since + first if first else math.inf
         try:
             while not parser.requests:
                 if parser.error:
@@ -323,27 +324,37 @@
                     until = since + (limits.header_within if in_head else limits.body_within) / 1e6
                 else:
                     idle_timeout = 0 if self.stopping and waiting is self._idle else limits.idle_for / 1e6
-                    until = loop.time() + idle_timeout
-                if not (data := await self._read_until(connection, min(until, latest), waiting)):
+                    until = waiting_since + idle_timeout
+                reading = self._read_until(connection, min(until, latest), waiting, waiting_since)
+                if not (data := await reading):
                     return None
                 self._parse(connection, data)
+                has_begun = parser.partial or parser.requests or parser.error
+                if not has_begun and loop.time() >= min(until, latest):
+                    return None
                 self._make_room(connection)
             return parser.next_request()
         finally:
+            waiting.pop(connection.writer, None)
             self._incomplete.pop(connection, None)
             self._evicted.discard(connection)
 
     async def _read_until(
-        self, connection: ClientConnection, latest: float, waiting: WaitingConnections
+        self,
+        connection: ClientConnection,
+        latest: float,
+        waiting: WaitingConnections,
+        waiting_since: float,
     ) -> bytes:
         """Reads bytes of the next request; b"" if the client is done."""
         reader, writer, parser = connection.reader, connection.writer, connection.parser
         try:
             async with asyncio.timeout_at(latest) as reading:
                 if parser.partial:
+                    waiting.pop(writer, None)
                     self._incomplete[connection] = reading
                 else:
-                    waiting[writer] = (asyncio.get_running_loop().time(), reading)
+                    waiting[writer] = (waiting_since, reading)
                 data = await reader.read(READ_BYTES)
             if connection in self._evicted:  # its bytes came just before the timeout
                 raise HttpError(503, NO_MEMORY)
@@ -357,8 +368,6 @@
             if data:
                 self._open.add(writer)  # an eviction may have removed it
             return data
-        finally:
-            waiting.pop(writer, None)
 
     def _make_room(self, connection: ClientConnection) -> None:
         """Frees memory for the rest of a request; raises HttpError if there is none."""
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -6,7 +6,7 @@
 import time
 
 import pytest
-from onenode import HANG, STREAM, Client, Engine, chat
+from onenode import HANG, STREAM, Client, Engine, chat, run_with_node
 from program import NodeProcess
 from test_memory import resident_megabytes, send_again_and_again
 
@@ -145,3 +145,31 @@
 
     sent_before, sent = asyncio.run(run())
     assert sent_before == sent == 1
+
+
+@pytest.mark.parametrize("pause", [0.04, 0.002])
+def test_empty_lines_do_not_keep_an_idle_connection_open(pause):
+    """Each of them started the time anew for which a connection without a request is kept, and for which it
+    may not make room for others."""
+    idle_s = 0.5
+
+    async def scenario(node):
+        node.client_listener.limits.idle_for = int(idle_s * 1e6)
+        async with Client(node.address) as client:
+            await client.send(chat(100))
+            assert (await client.answer())[0] == 200
+            answered_at = time.monotonic()
+            evictable = []
+            is_open = True
+            while is_open and time.monotonic() < answered_at + 4 * idle_s:
+                is_open = not (client.reader.at_eof() or client.writer.transport.is_closing())
+                client.writer.write(b"\r\n")
+                await asyncio.sleep(pause)
+                evictable.append(
+                    any(since < loop_time() - 0.1 for since, _ in node.client_listener._idle.values())
+                )
+            return time.monotonic() - answered_at, any(evictable)
+
+    loop_time = time.monotonic  # what the event loop's clock shows
+    took, evictable = run_with_node(scenario, wr1=Engine())
+    assert idle_s - 0.1 < took < 2 * idle_s and evictable
