--- a/lifthead/answer_body.py
+++ b/lifthead/answer_body.py
@@ -68,14 +68,11 @@
         self._claimed = self._left = 0  # bytes of the open chunk or the body, and how many are still to come
         self._line = b""  # the beginning of an incomplete line
         self._trailer_bytes = 0
+        self.complete = part is Part.NOTHING
         if part is Part.CONTENT:
             self._claim(length)
             if not length:
-                self._part = Part.NOTHING
-
-    @property
-    def complete(self) -> bool:
-        return self._part is Part.NOTHING
+                self._go_on_with(Part.NOTHING)
 
     @property
     def claimed_bytes(self) -> int:
@@ -184,6 +181,7 @@
     def _go_on_with(self, part: Part) -> None:
         assert part in FOLLOWED_BY[self._part], f"{part} behind {self._part}"
         self._part = part
+        self.complete = part is Part.NOTHING
 
 
 _DECODERS = {
--- a/lifthead/http1.py
+++ b/lifthead/http1.py
@@ -237,7 +237,7 @@
     def __init__(self, header_bytes: int = 65_536, chunk_bytes: int = MAX_CHUNK_BYTES) -> None:
         self._llhttp = httptools.HttpResponseParser(self)
         self.head: Message | None = None
-        self.has_surplus = False
+        self.complete = self.has_surplus = False
         self._max_chunk_bytes = chunk_bytes
         self._body: AnswerBody | None = None
         self._informational = 0
@@ -273,10 +273,6 @@
         except BodyError as error:
             raise HttpError(502, str(error)) from None
 
-    @property
-    def complete(self) -> bool:
-        return self._body is not None and self._body.complete
-
     @property
     def claimed_bytes(self) -> int:
         """The size of the chunk or body that is open, as the peer claims it; 0 if none is."""
@@ -298,8 +294,9 @@
             at = self._body.feed(data, at)
         except BodyError as error:
             raise HttpError(502, f"not HTTP: {error}") from None
-        if at < len(data):
-            self.has_surplus = True
+        if self._body.complete:
+            self.complete = True
+            self.has_surplus = self.has_surplus or at < len(data)
 
     def _feed_head(self, data: bytes) -> int:
         """Parses heads up to the end of the final one. Returns the index of the first byte of its body.
--- a/lifthead/node/engines.py
+++ b/lifthead/node/engines.py
@@ -188,7 +188,7 @@
         except HttpError:
             self.sound_before_error = self._passable(complete[:parsed_bytes])
             raise
-        if self._opening_comments or not self.begun:
+        if self._opening_comments or self._order.last is None:
             return self._passable(complete)
         return complete
 
--- a/lifthead/node/stream_relay.py
+++ b/lifthead/node/stream_relay.py
@@ -80,7 +80,11 @@
         pending, events = self._pending, self._events
         while data := await self._connection.read_body():
             previous_event_count = events.event_count
-            complete_events = self._parse(data)
+            try:
+                complete_events = events.feed(data)
+            except HttpError:
+                self._send_sound_events()
+                raise
             self._check_memory()
             if not events.begun:
                 continue
@@ -100,15 +104,10 @@
         listener.on_stream_complete(pending, events.finish())
         return AttemptResult(Observation.WRITTEN, events.cached_tokens, events.report)
 
-    def _parse(self, data: bytes) -> bytes:
-        """Returns the events that may be passed on. Raises HttpError if something can't belong to the stream;
-        the client of a begun stream gets the events before it."""
-        try:
-            return self._events.feed(data)
-        except HttpError:
-            if self._pending.answer_started and self._events.sound_before_error:
-                self._pending.reply.send(self._events.sound_before_error)
-            raise
+    def _send_sound_events(self) -> None:
+        """Sends the client of a begun stream the events that came before an error."""
+        if self._pending.answer_started and self._events.sound_before_error:
+            self._pending.reply.send(self._events.sound_before_error)
 
     def _check_memory(self) -> None:
         """Raises HttpError if what waits for the rest of its event finds no memory."""
