--- a/lifthead/answer_body.py
+++ b/lifthead/answer_body.py
@@ -12,7 +12,8 @@
 MAX_TRAILER_BYTES = 16_384
 MAX_SIZE_DIGITS = 15  # significant hexadecimal digits, so that a size is a small integer
 
-_match_plain_size = re.compile(rb"([0-9a-fA-F]{1,8})\r\n").match
+HEX_DIGITS = b"0123456789abcdefABCDEF"
+MAX_PLAIN_SIZE = 10  # bytes of a line that holds a size alone
 # Sizes may have leading zeros, white space behind them and extensions.
 _match_size_line = re.compile(
     rb"0*([0-9a-fA-F]{0,%d})[ \t]*(?:;[\t\x20-\x7e\x80-\xff]*)?" % MAX_SIZE_DIGITS
@@ -100,9 +101,13 @@
 
     def _decode_whole_chunks(self, data: bytes, at: int) -> int:
         """Decodes chunks that have come as a whole, which most of a stream's chunks do."""
-        while found := _match_plain_size(data, at):
-            size = int(found[1], 16)
-            begin = found.end()
+        while True:
+            line_end = data.find(CRLF, at, at + MAX_PLAIN_SIZE)
+            digits = data[at:line_end]
+            if line_end <= at or digits.translate(None, HEX_DIGITS):
+                break
+            size = int(digits, 16)
+            begin = line_end + 2
             end = begin + size
             if data[end : end + 2] != CRLF or not 0 < size <= self._max_chunk_bytes:
                 break
--- a/lifthead/node/engines.py
+++ b/lifthead/node/engines.py
@@ -178,11 +178,14 @@
         complete = self._take_complete(data)
         parsed_bytes = 0
         try:
-            for event in complete.split(EVENT_END)[:-1]:
-                for line in event.split(b"\n"):
-                    if line:
+            if complete.find(b"\n") == len(complete) - len(EVENT_END) > 0:
+                self._parse_line(complete[: -len(EVENT_END)])  # one event of one line, as most are
+                parsed_bytes = len(complete)
+            else:
+                for event in complete.split(EVENT_END)[:-1]:
+                    for line in filter(None, event.split(b"\n")):
                         self._parse_line(line)
-                parsed_bytes += len(event) + len(EVENT_END)
+                    parsed_bytes += len(event) + len(EVENT_END)
             if self._incomplete:
                 self._check_incomplete()
         except HttpError:
--- a/lifthead/node/host.py
+++ b/lifthead/node/host.py
@@ -123,6 +123,7 @@
             if request_id in self._open_request_ids:
                 raise HttpError(409, "a req with this id is open")
             if self._executed_ids.has(request_id, now()):
+                self.events.add(now(), Event.ANSWERED, request_id, detail="reason=already_executed")
                 return reply.send_whole(*clients.already_executed())
         except HttpError as error:
             reply.keep_alive = False
