A connection that is being checked is closed when its client leaves

Trace: r21's third attempt was called off while its kept connection was asked whether it works; nobody held that connection any more, so it stayed open, and at the exit the stream's finalizer met a closed loop. Callers saw nothing; the engine kept a connection that nobody uses, and the router a descriptor, until the garbage collector came. Now Host._connect closes it.

--- a/lifthead/node/host.py
+++ b/lifthead/node/host.py
@@ -256,8 +256,12 @@
         if not connection.uses or attempt.work is Work.FETCH:
             return connection
         release_request = engines.encode_release(pending.guard.request)
-        if await connection.is_alive(release_request, CONNECTION_CHECK_TIMEOUT):
-            return connection
+        try:
+            if await connection.is_alive(release_request, CONNECTION_CHECK_TIMEOUT):
+                return connection
+        except asyncio.CancelledError:
+            connection.abort()  # nobody else has it yet
+            raise
         self._report_event(pending, Event.CONNECTION_CLOSED, attempt, f"reason=silent {connection}")
         endpoint.link.record_broken(connection)
         connection.abort()
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -2,11 +2,12 @@
 down its connection. An attempt in flight is cancelled and held state is released."""
 
 import asyncio
+import gc
 import socket
 import time
 
 import pytest
-from onenode import HANG, PREFILLED, REFUSED_NOT_RUN, STREAM, Client, Engine, chat, run_with_node
+from onenode import HANG, PREFILLED, REFUSED_NOT_RUN, STREAM, Client, Engine, chat, exchange, run_with_node
 
 from lifthead.engines.link import ConnectionPool
 
@@ -165,3 +166,36 @@
             return statuses, await client.closed()
 
     assert run_with_node(scenario, wr=Engine([0.05, STREAM])) == ([200, 200, 400], True)
+
+
+class SilentReleases(Engine):
+    """Answers requests, but never a release, which the router also asks with whether a connection works."""
+
+    async def _answer_one(self, reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        if not head.startswith(b"DELETE"):
+            writer.write(STREAM)
+            await reader.readexactly(int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0]))
+            return True
+        self.requests.append(("DELETE", {}))
+        self.disconnects += await reader.read(1) == b""
+        return False
+
+
+def test_a_connection_is_closed_when_its_client_leaves_while_the_router_checks_it():
+    """It was dropped without a close: it stayed open until the garbage collector or the exit came upon it."""
+
+    async def scenario(node):
+        engine = node.engines["w1"]
+        await exchange(node.address, chat(100, trace="a"))
+        await asyncio.sleep(0.1)  # until the connection may be used again
+        gc.disable()  # which would close it some time
+        try:
+            async with Client(node.address) as client:
+                await client.send(chat(100, trace="b"))
+                await node.until(lambda: engine.lines("DELETE"))
+            await node.until(lambda: engine.disconnects, within=1.0)
+        finally:
+            gc.enable()
+
+    run_with_node(scenario, w1=SilentReleases())
