--- a/lifthead/standins/faults/checker.py
+++ b/lifthead/standins/faults/checker.py
@@ -68,6 +68,7 @@
     # By process: the time of each SIGSTOP (True) and SIGCONT (False).
     suspensions: dict[str, list[tuple[int, bool]]] = field(default_factory=lambda: defaultdict(list))
     stopping: list[RecordLine] = field(default_factory=list)  # routers that received SIGTERM
+    exited: list[RecordLine] = field(default_factory=list)
 
     @classmethod
     def from_lines(cls, lines: list[RecordLine]) -> "Traffic":
@@ -98,7 +99,7 @@
         elif event == "told":
             self.discovery_updates.append(line)
             self.zones |= line["zones"]
-        elif event in ("killed", "stopping"):
+        elif event in ("killed", "stopping", "exited"):
             getattr(self, event).append(line)
         elif "request" in line:
             self.lines_by_request[line["request"]].append(line)
@@ -158,12 +159,18 @@
         return any(line["name"] == name and since <= line["t"] <= until for line in kills)
 
     def arrived_after_sigterm(self, request: RecordLine, delay: int = ACCEPTS_AFTER_SIGTERM) -> bool:
-        """Whether a request came later than `delay` after the SIGTERM of its router."""
-        stopped_at = [line["t"] for line in self.stopping if line["name"] == request["router"]]
+        """Whether a request came later than `delay` after the SIGTERM of its router's process."""
         return any(
-            sigterm_at + delay < request["t"] < sigterm_at + GONE_AFTER_SIGTERM for sigterm_at in stopped_at
+            line["t"] + delay < request["t"] < line["t"] + GONE_AFTER_SIGTERM
+            and not self._exited_between(line["name"], line["t"], request["t"])
+            for line in self.stopping
+            if line["name"] == request["router"]
         )
 
+    def _exited_between(self, name: str, since: int, until: int) -> bool:
+        """Whether a process of this name exited in this interval: a later one got no SIGTERM yet."""
+        return any(line["name"] == name and since <= line["t"] <= until for line in self.exited)
+
     def waiting_engine_was_killed(self, lines: list[RecordLine], until: int) -> bool:
         """Whether an engine that waited for the state was killed.
 
--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -269,6 +269,17 @@
     assert [breach.rule for breach in find_breaches(lines)] == expected
 
 
+@pytest.mark.parametrize(("exits", "expected"), [([], [1]), ([1.5], []), ([0.5], [1])])
+def test_the_stop_of_an_earlier_process_makes_no_request_of_the_next_one_late(exits, expected):
+    """Seed 716: a router stopped, started and was told to stop again; a request 26 ms after that SIGTERM
+    counted as late after the first one, so that the kill did not excuse it."""
+    stops = [line(at * SECOND, "stopping", name="n0") for at in (1, 2)]
+    exited = [line(int(at * SECOND), "exited", name="n0", code=0) for at in exits]
+    killed = line(5 * SECOND, "killed", name="n0", planned=True)
+    lines = [asked(2 * SECOND + 26_000), *stops, *exited, killed, answered(5 * SECOND + 1, "closed")]
+    assert [breach.rule for breach in find_breaches(lines)] == expected
+
+
 def test_a_state_that_a_killed_engine_waited_for_is_no_breach():
     waiting = [arrived(200_000), at_engine(200_001, "waiting", "d0", port=8)]
     killed = line(300_000, "killed", name="d0", planned=False)
