A head alone ends an attempt that is no stream: its body is waited for 0.1 s

Cause: the node and the daemon read the body that the head claims for as long as the attempt may last.

--- a/lifthead/daemon/host.py
+++ b/lifthead/daemon/host.py
@@ -293,7 +293,7 @@
         pending.guard.on_confirmed(attempt)
         report = codec.parse_load_report(head.headers)
         if head.status != 200:
-            await connection.read_whole_body()
+            await connection.read_short_body()
             refusal = codec.error_observation(head)
             if refusal is Observation.STATE_GONE:
                 pending.state_handle = None
--- a/lifthead/engines/link.py
+++ b/lifthead/engines/link.py
@@ -11,6 +11,7 @@
 READ_SIZE = 65_536
 WRITE_SIZE = 32_768  # bytes of a request that wait at most in the transport while the engine does not read
 MAX_SHORT_ANSWER_BYTES = 262_144  # of the answer to a probe or a release
+SHORT_BODY_TIMEOUT = 0.1  # seconds from the head of an answer that is no stream to its end
 MAX_IDLE = 10.0  # seconds; engines commonly close idle connections later than that
 MIN_IDLE = 0.05  # seconds: a late second answer must not be taken for the answer to the next request
 DOUBLING_TIME = 10.0  # seconds in which a shortened idle limit doubles again
@@ -171,6 +172,15 @@
                 raise HttpError(502, "an engine's answer is too large")
         return b"".join(parts)
 
+    async def read_short_body(self, max_bytes: int = 1 << 22) -> bytes | None:
+        """The rest of the body of an answer that is no stream; None if it does not come soon. The head says
+        what the attempt has come to, and a state may be held from then on."""
+        try:
+            async with asyncio.timeout(SHORT_BODY_TIMEOUT):
+                return await self.read_whole_body(max_bytes)
+        except TimeoutError:
+            return None
+
     async def exchange(self, data: bytes) -> tuple[Message, bytes]:
         """Sends a short request and returns its whole answer."""
         await self.send(data)
--- a/lifthead/node/host.py
+++ b/lifthead/node/host.py
@@ -298,12 +298,13 @@
         if observation is Observation.STATE_GONE:
             pending.guard.on_state_gone()
         if observation:
-            body = await connection.read_whole_body(engines.MAX_ANSWER_BYTES)
+            body = await connection.read_short_body(engines.MAX_ANSWER_BYTES)
             if observation is not Observation.READ:
                 return AttemptResult(observation, report=report)
             pending.guard.on_leased(attempt, now())
             self._note_event(pending, Event.LEASED, attempt)
-            return AttemptResult(observation, engines.cached_tokens_in(body), report)
+            cached_tokens = 0 if body is None else engines.cached_tokens_in(body)
+            return AttemptResult(observation, cached_tokens, report)
         path_delay = endpoint.link.path_delay.current
         pending.stream = StreamRelay(pending, attempt, connection, timeout, self.memory, path_delay)
         return await pending.stream.run(self)
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -290,6 +290,31 @@
     run(scenario())
 
 
+def test_a_refusal_without_its_body_leaves_time_for_another_engine(tmp_path):
+    """The refused request waited for the rest of the refusal until its time was over."""
+    refusal = b"HTTP/1.1 503 No\r\nx-lifthead-not-run: 1\r\ncontent-length: 9\r\n\r\n"
+    stream = STREAM_HEAD + chunk(TEXT_EVENT + b"data: [DONE]\n\n") + b"0\r\n\r\n"
+    refused = []
+
+    async def refuse(reader, writer):
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            refused.append(1)
+            writer.write(refusal)
+            await reader.read(-1)
+
+    async def scenario():
+        handlers = {"wr": refuse, "wr2": answering(stream)}
+        async with Loopback(tmp_path, engines=(), handlers=handlers) as loopback:
+            for _ in range(6):
+                async with asyncio.timeout(1.0):
+                    answer = await send_raw(loopback.address, http(body(model="once", stream=True)))
+                assert int(answer.split()[1]) == 200
+        assert refused
+
+    run(scenario())
+
+
 def test_an_answer_that_arrives_byte_by_byte(tmp_path):
     async def scenario():
         stream = chunk(TEXT_EVENT * 2 + 'data: {"choices":[{"delta":{"content":"não"}}]}\r\n\r\n'.encode())
