An id whose request never left the router whole is served when it comes again

The opposite of an id that runs twice: an engine begins with a request when its last byte has come, so a large request of which bytes still wait here when its attempt ends has not run, and its id was refused with 409. Now the connection tells whether bytes are unsent, they are discarded with it, and the id is not remembered. Releases and decisions judge as before. What the system has taken counts as sent: it is delivered even after a close.

--- a/lifthead/engines/link.py
+++ b/lifthead/engines/link.py
@@ -70,6 +70,7 @@
         self.idle_time = 0.0  # seconds that it was idle before its current use
         self._received_before = 0  # bytes received before the current request was sent
         self.error: HttpError | None = None  # that a byte of the answer's body caused
+        self._unwritten = 0  # bytes of the current request that the transport has not got yet
 
     async def send(self, head: bytes, body: bytes = b"") -> None:
         """Sends a request; NotSentError if the connection broke before the last byte was written. Where that
@@ -80,14 +81,22 @@
         self.parser = http1.AnswerParser(*self._parser_limits)
         self._received_before, self.error = self.reader.received, None
         written = max(WRITE_SIZE - len(head), 0)  # of the body
+        self._unwritten = max(len(body) - written, 0)
         await self._write(head + body[:written])
         rest = memoryview(body)
         while written < len(body):
             if not self._is_open:
                 raise NotSentError("broke before its last byte was written")
-            await self._write(rest[written : written + WRITE_SIZE])
+            part = rest[written : written + WRITE_SIZE]
+            self._unwritten -= len(part)
+            await self._write(part)
             written += WRITE_SIZE
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether bytes of the current request have not left this process. `abort` discards them."""
+        return self._unwritten > 0 or self.writer.transport.get_write_buffer_size() > 0
+
     @property
     def _is_open(self) -> bool:
         return not (self.writer.transport.is_closing() or self.reader.at_eof())
--- a/lifthead/guard.py
+++ b/lifthead/guard.py
@@ -106,6 +106,7 @@
     announced_deadline: int = 0  # until when its engine was told that the router waits
     state: AttemptState = AttemptState.CONNECTING
     cancelled: bool = False
+    is_incomplete: bool = False  # its last bytes were never written, so its engine can't have begun
 
     @property
     def is_prefill(self) -> bool:
@@ -221,7 +222,7 @@
         """An attempt is over. `answered`: its engine sent a complete answer."""
         may_have_arrived = attempt.may_have_arrived
         proven_not_run = proven_not_run or not may_have_arrived
-        if not attempt.is_prefill and not proven_not_run:
+        if not (attempt.is_prefill or proven_not_run or attempt.is_incomplete):
             self.may_have_run = True
         attempt.state, self.attempt = AttemptState.ENDED, None
         if not may_have_arrived:
--- a/lifthead/node/host.py
+++ b/lifthead/node/host.py
@@ -19,7 +19,7 @@
 from lifthead.engines.link import Connection, ConnectionPool, IdleLimit, NotSentError
 from lifthead.events import Event, EventLog, Record
 from lifthead.executed_ids import ExecutedIds
-from lifthead.guard import RequestGuard, Rule, Work
+from lifthead.guard import AttemptState, RequestGuard, Rule, Work
 from lifthead.hosting import AttemptInFlight, BaseHost, now, wall_clock_offset
 from lifthead.http1 import HttpError, Message
 from lifthead.interface import Idempotency
@@ -236,6 +236,9 @@
             log.exception("attempt at engine %s failed", attempt.engine)
         self._connections_in_use -= 1
         observation = result.observation
+        if connection and attempt.state is AttemptState.SENDING and connection.has_unsent:
+            connection.abort()
+            attempt.is_incomplete = True
         if connection and observation is Observation.CUT:
             endpoint.link.record_broken(connection)
         elif connection and connection.uses and not connection.answered:
--- a/tests/test_repeated_ids.py
+++ b/tests/test_repeated_ids.py
@@ -1,9 +1,12 @@
 """Ids that come again after their client has left: what may have run is not sent again."""
 
 import asyncio
+import contextlib
 import copy
 import signal
+import socket
 
+import pytest
 from onenode import (
     END,
     EVENT,
@@ -22,6 +25,7 @@
 )
 from program import NodeProcess
 
+from lifthead.engines.link import ConnectionPool
 from lifthead.executed_ids import KEPT_FOR, MAX_IDS, ExecutedIds
 
 KEYED_CLASS = {
@@ -122,6 +126,50 @@
     assert run_with_node(scenario, rd1=Engine(), wr1=Engine()) == [200, 409]
 
 
+class SlowReader(Engine):
+    """While `is_slow`, reads a request so slowly that its last bytes stay with the router."""
+
+    is_slow = True
+
+    async def connection(self, reader, writer):
+        if not self.is_slow:
+            return await super().connection(reader, writer)
+        self.connections += 1
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        with contextlib.suppress(OSError):
+            while await reader.read(1000):
+                await asyncio.sleep(0.05)
+        writer.close()
+
+
+@pytest.mark.parametrize("by_reset", [False, True])
+def test_an_id_whose_request_never_left_this_process_whole_is_served(by_reset, monkeypatch):
+    """An engine begins with a request when its last byte has come. Before that nothing has run."""
+    slow, large = SlowReader(), chat(60_000, "pay", budget_ms="7000")
+    acquire = ConnectionPool.acquire
+
+    async def acquire_with_small_buffer(pool, fresh):
+        connection = await acquire(pool, fresh)
+        connected = connection.writer.get_extra_info("socket")
+        connected.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        return connection
+
+    monkeypatch.setattr(ConnectionPool, "acquire", acquire_with_small_buffer)
+
+    async def scenario(node):
+        async with Client(node.address) as client:
+            await client.send(large)
+            await node.until(lambda: slow.connections)
+            await asyncio.sleep(0.2)
+            if by_reset:
+                client.writer.transport.abort()
+        await node.until(lambda: not node.host.pending_requests)
+        slow.is_slow = False
+        return [await repeat(node, large) for _ in range(2)]
+
+    assert run_with_node(scenario, wr1=slow) == [200, 409]
+
+
 async def repeat(node, data):
     return (await exchange(node.address, data))[0]
 
