--- a/tests/test_fault_soak.py
+++ b/tests/test_fault_soak.py
@@ -280,6 +280,14 @@
     assert [breach.rule for breach in find_breaches(lines)] == expected
 
 
+@pytest.mark.parametrize(("killed_at", "expected"), [(996_000, []), (900_000, [1])])
+def test_a_request_to_a_process_that_is_being_killed_is_excused(killed_at, expected):
+    """Seeds 606, 766 and 770: the process was killed 4 ms before, and its system took the connection."""
+    killed = line(killed_at, "killed", name="n0", planned=False)
+    lines = [asked(SECOND), killed, answered(SECOND + 1000, "reset")]
+    assert [breach.rule for breach in find_breaches(lines)] == expected
+
+
 def test_a_state_that_a_killed_engine_waited_for_is_no_breach():
     waiting = [arrived(200_000), at_engine(200_001, "waiting", "d0", port=8)]
     killed = line(300_000, "killed", name="d0", planned=False)
