--- a/lifthead/node/host.py
+++ b/lifthead/node/host.py
@@ -197,14 +197,8 @@
             async with asyncio.timeout((abandon_at - now()) / 1e6) as timeout:
                 if attempt.cancelled:
                     raise asyncio.CancelledError
-                # When a reused connection breaks, the engine may have dropped it unread or may have run the
-                # attempt. So only an attempt that may run twice goes on a reused connection.
-                may_run_twice = (
-                    attempt.is_prefill
-                    or self._request_classes[pending.request_class].idempotency is Idempotency.IDEMPOTENT
-                )
-                is_repeated_fetch = attempt.work is Work.FETCH and attempt.number > 1
-                for fresh in (not may_run_twice or is_repeated_fetch, *[True] * engines.MAX_RECONNECTS):
+                needs_fresh = self._needs_fresh_connection(pending, attempt)
+                for fresh in (needs_fresh, *[True] * engines.MAX_RECONNECTS):
                     connection = None
                     try:
                         connection = await self._connect(pending, attempt, endpoint, fresh)
@@ -235,19 +229,37 @@
             result = AttemptResult(Observation.CUT)
             log.exception("attempt at engine %s failed", attempt.engine)
         self._connections_in_use -= 1
-        observation = result.observation
-        if connection and attempt.state is AttemptState.SENDING and connection.has_unsent:
+        self._judge_connection(attempt, endpoint, connection, result.observation)
+        if result.observation not in (Observation.READ, Observation.WRITTEN):
+            reason = f"reason={result.observation.name.lower()} work={attempt.work.value}"
+            self._report_event(pending, Event.CONNECTION_CLOSED, attempt, f"{reason} {connection or ''}")
+        await self._return_connection(pending, attempt, endpoint, connection, result.observation)
+        self._finish_attempt(pending, attempt, result)
+
+    def _needs_fresh_connection(self, pending: PendingRequest, attempt: AttemptInFlight) -> bool:
+        """Whether an attempt must not go on a reused connection. When one breaks, the engine may have dropped
+        it unread or may have run the attempt, so that only an attempt that may run twice goes on one."""
+        is_idempotent = self._request_classes[pending.request_class].idempotency is Idempotency.IDEMPOTENT
+        is_repeated_fetch = attempt.work is Work.FETCH and attempt.number > 1
+        return not (attempt.is_prefill or is_idempotent) or is_repeated_fetch
+
+    def _judge_connection(
+        self,
+        attempt: AttemptInFlight,
+        endpoint: Endpoint,
+        connection: Connection | None,
+        observation: Observation,
+    ) -> None:
+        """Notes what the end of an attempt shows of its connection and of the other ones to its engine."""
+        if connection is None:
+            return
+        if attempt.state is AttemptState.SENDING and connection.has_unsent:
             connection.abort()
             attempt.is_incomplete = True
-        if connection and observation is Observation.CUT:
+        if observation is Observation.CUT:
             endpoint.link.record_broken(connection)
-        elif connection and connection.uses and not connection.answered:
+        elif connection.uses and not connection.answered:
             endpoint.link.close()  # the other idle connections may be silent as well
-        if observation not in (Observation.READ, Observation.WRITTEN):
-            reason = f"reason={observation.name.lower()} work={attempt.work.value}"
-            self._report_event(pending, Event.CONNECTION_CLOSED, attempt, f"{reason} {connection or ''}")
-        await self._return_connection(pending, attempt, endpoint, connection, observation)
-        self._finish_attempt(pending, attempt, result)
 
     async def _connect(
         self, pending: PendingRequest, attempt: AttemptInFlight, endpoint: Endpoint, fresh: bool
